Add the design page and the package skeleton

The design page records requirements, decisions, interfaces and failure behaviour before the code. The skeleton holds the interfaces that the parts share: outcomes and result codes, backend servers, platform services and the multiplexed channel. Nothing runs yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Every target sets up the virtual environment that it needs, so each works from a clean clone.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: test demo format lint types binary clean
+
+$(STAMP): requirements.txt pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet -r requirements.txt setuptools wheel
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+test: $(STAMP)
+	$(BIN)/black --check --quiet src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+	PYTHONPATH=src $(BIN)/python -m pytest
+
+format: $(STAMP)
+	$(BIN)/black --quiet src tests
+	$(BIN)/ruff check --fix src tests
+
+demo: $(STAMP)
+	PYTHONPATH=src $(BIN)/python -m tests.demo
+
+clean:
+	rm -rf build dist *.egg-info
--- /dev/null
+++ b/src/wigeonpoint/_channel.py
@@ -0,0 +1,216 @@
+"""Multiplexed JSON request channels over one kept WebSocket.
+
+Every request carries an id, and its answer carries the same id, so that answers may arrive late or
+in another order. An answer whose request has been given up is dropped.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import orjson
+from tornado.httpclient import HTTPRequest
+from tornado.websocket import WebSocketClientConnection, WebSocketHandler, websocket_connect
+
+from wigeonpoint.errors import (
+    NotRun,
+    OutcomeUnknown,
+    ResultCode,
+    WigeonpointError,
+    error_for,
+)
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+_BASE_HEADERS = {"Content-Type": "application/json"}
+
+Responder = Callable[[str, Any], Awaitable[Any]]
+
+
+class JsonChannel:
+    """The requesting end of a channel; one task reads its answers.
+
+    Use `JsonChannel.open` to connect.
+    """
+
+    def __init__(self, url: str, connection: WebSocketClientConnection) -> None:
+        self._url = url
+        self._connection = connection
+        self._ids = itertools.count(1)
+        self._pending: dict[int, asyncio.Future[Any]] = {}
+        self._closed = False
+        self._reader = asyncio.create_task(self._read_answers())
+
+    @property
+    def closed(self) -> bool:
+        """Whether the channel can no longer carry requests."""
+        return self._closed
+
+    @property
+    def pending(self) -> int:
+        """Number of requests without an answer."""
+        return len(self._pending)
+
+    @classmethod
+    async def open(
+        cls, url: str, *, timeout: float, headers: dict[str, str] | None = None
+    ) -> JsonChannel:
+        """Connects to a channel.
+
+        Args:
+            url: `ws://host:port/path`.
+            timeout: Seconds to wait for the connection.
+            headers: Further HTTP headers, such as authorisation.
+
+        Raises:
+            NotRun: PEER_UNREACHABLE when no connection could be made, CONNECTION_LIMIT when the
+                server refused it with status 503.
+        """
+        request = HTTPRequest(
+            url, headers={**_BASE_HEADERS, **(headers or {})}, connect_timeout=timeout
+        )
+        try:
+            connection = await asyncio.wait_for(
+                websocket_connect(request, max_message_size=MAX_MESSAGE_BYTES), timeout
+            )
+        except Exception as error:
+            if getattr(error, "code", None) == 503:
+                raise NotRun(
+                    ResultCode.CONNECTION_LIMIT, f"{url} accepts no further connection"
+                ) from error
+            raise NotRun(ResultCode.PEER_UNREACHABLE, f"cannot connect to {url}: {error}") from error
+        return cls(url, connection)
+
+    async def request(self, kind: str, body: Any, *, timeout: float) -> Any:
+        """Sends a request and waits for its answer.
+
+        Args:
+            kind: Type of the request.
+            body: JSON value or data class.
+            timeout: Seconds to wait for the answer.
+
+        Returns:
+            The body of the answer, as decoded JSON.
+
+        Raises:
+            NotRun: The channel was closed before the request was sent, or the other end refused.
+            OutcomeUnknown: The request was sent and no answer arrived.
+        """
+        if self._closed:
+            raise NotRun(ResultCode.PEER_UNREACHABLE, f"channel to {self._url} is closed")
+        number = next(self._ids)
+        answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._pending[number] = answer
+        frame = orjson.dumps({"id": number, "type": kind, "body": body})
+        try:
+            self._connection.write_message(frame)
+            return await asyncio.wait_for(answer, timeout)
+        except TimeoutError as error:
+            raise OutcomeUnknown(
+                ResultCode.DEADLINE_EXCEEDED, f"no answer from {self._url} to {kind} in time"
+            ) from error
+        finally:
+            self._pending.pop(number, None)
+
+    def close(self) -> None:
+        """Closes the channel; requests without an answer end with an unknown outcome."""
+        if not self._closed:
+            self._closed = True
+            self._reader.cancel()
+            self._connection.close()
+            self._fail_pending()
+
+    async def _read_answers(self) -> None:
+        while True:
+            data = await self._connection.read_message()
+            if data is None:
+                break
+            self._resolve(orjson.loads(data))
+        self._closed = True
+        self._fail_pending()
+
+    def _resolve(self, frame: dict[str, Any]) -> None:
+        answer = self._pending.get(frame["id"])
+        if answer is None or answer.done():
+            return
+        error = frame.get("error")
+        if error is None:
+            answer.set_result(frame["body"])
+        else:
+            answer.set_exception(_decode_error(error))
+
+    def _fail_pending(self) -> None:
+        for answer in self._pending.values():
+            if not answer.done():
+                answer.set_exception(
+                    OutcomeUnknown(
+                        ResultCode.CONNECTION_LOST, f"connection to {self._url} was lost"
+                    )
+                )
+
+
+class ChannelHandler(WebSocketHandler):
+    """The answering end of a channel; each request runs in a task of its own.
+
+    Subclasses implement `respond`. Raising a `WigeonpointError` answers with its code.
+    """
+
+    def initialize(self) -> None:
+        """Prepares the set that keeps running requests from being collected."""
+        self._running: set[asyncio.Task[None]] = set()
+
+    def check_origin(self, origin: str) -> bool:
+        """Accepts any origin: channels are not opened by browsers and carry no cookies."""
+        return True
+
+    def open(self, *args: str, **kwargs: str) -> None:
+        """Turns Nagle's algorithm off, because requests are small and latency matters."""
+        self.set_nodelay(True)
+
+    async def respond(self, kind: str, body: Any) -> Any:
+        """Answers one request.
+
+        Args:
+            kind: Type of the request.
+            body: Decoded JSON.
+
+        Returns:
+            JSON value or data class.
+        """
+        raise NotImplementedError
+
+    def on_message(self, message: str | bytes) -> None:
+        """Starts a task for a request."""
+        frame = orjson.loads(message)
+        task = asyncio.create_task(self._answer(frame))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+
+    async def _answer(self, frame: dict[str, Any]) -> None:
+        reply: dict[str, Any] = {"id": frame["id"]}
+        try:
+            reply["body"] = await self.respond(frame["type"], frame["body"])
+        except WigeonpointError as error:
+            reply["error"] = _encode_error(error)
+        except Exception as error:  # a fault in one request must not end the channel
+            reply["error"] = _encode_error(
+                OutcomeUnknown(ResultCode.INTERNAL, f"internal error: {error!r}")
+            )
+        if self.ws_connection is not None and not self.ws_connection.is_closing():
+            await self.write_message(orjson.dumps(reply))
+
+
+def _encode_error(error: WigeonpointError) -> dict[str, Any]:
+    return {
+        "code": int(error.code),
+        "message": error.message,
+        "retry_after_ms": error.retry_after_ms,
+    }
+
+
+def _decode_error(error: dict[str, Any]) -> WigeonpointError:
+    return error_for(
+        ResultCode(error["code"]), error["message"], retry_after_ms=error.get("retry_after_ms")
+    )
--- /dev/null
+++ b/src/wigeonpoint/request/_answer.py
@@ -0,0 +1,39 @@
+"""What a caller gets: outcome, code, rows and the merged session token."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from wigeonpoint.errors import Outcome, ResultCode
+
+
+@dataclass(slots=True)
+class Answer:
+    """The answer to one request of a caller.
+
+    Attributes:
+        code: Numbered result code.
+        outcome: Done, not run or unknown.
+        rows: Result rows of the statement.
+        session: Session token to send with the next request.
+        request_id: Id under which a write was recorded.
+        repeated: Whether the rows were recorded by an earlier run of the same request id.
+        served_by: Backend server that answered.
+        from_replica: Whether a replica answered.
+        age_ms: Proven upper bound of the data's age in milliseconds, for aged reads.
+        retry_after_ms: Milliseconds after which a retry may succeed.
+        message: A sentence about the result, for errors.
+    """
+
+    code: ResultCode = ResultCode.DONE
+    outcome: Outcome = Outcome.DONE
+    rows: list[Any] = field(default_factory=list)
+    session: str | None = None
+    request_id: str | None = None
+    repeated: bool = False
+    served_by: str | None = None
+    from_replica: bool = False
+    age_ms: int | None = None
+    retry_after_ms: int | None = None
+    message: str = ""
