Serve statements and transactions through separate processes

The thin whole path: entry instances forward to the owner of a backend server over kept channels, writes and current reads are confirmed by a majority of the group, and the session token gives read-your-writes on any instance. Stand-ins of the platform and of a database group run beside it.

--- a/Makefile
+++ b/Makefile
@@ -13,14 +13,14 @@
 	touch $(STAMP)
 
 test: $(STAMP)
-	$(BIN)/black --check --quiet src tests
-	$(BIN)/ruff check src tests
+	$(BIN)/black --check --quiet src tests tools
+	$(BIN)/ruff check src tests tools
 	$(BIN)/mypy
 	PYTHONPATH=src $(BIN)/python -m pytest
 
 format: $(STAMP)
-	$(BIN)/black --quiet src tests
-	$(BIN)/ruff check --fix src tests
+	$(BIN)/black --quiet src tests tools
+	$(BIN)/ruff check --fix src tests tools
 
 demo: $(STAMP)
 	PYTHONPATH=src $(BIN)/python -m tests.demo
--- a/src/wigeonpoint/_channel.py
+++ b/src/wigeonpoint/_channel.py
@@ -80,7 +80,9 @@
                 raise NotRun(
                     ResultCode.CONNECTION_LIMIT, f"{url} accepts no further connection"
                 ) from error
-            raise NotRun(ResultCode.PEER_UNREACHABLE, f"cannot connect to {url}: {error}") from error
+            raise NotRun(
+                ResultCode.PEER_UNREACHABLE, f"cannot connect to {url}: {error}"
+            ) from error
         return cls(url, connection)
 
     async def request(self, kind: str, body: Any, *, timeout: float) -> Any:
--- a/src/wigeonpoint/backend/_websocket.py
+++ b/src/wigeonpoint/backend/_websocket.py
@@ -99,9 +99,7 @@
         if self._channel is None or self._channel.closed:
             self._channel = await self._open(timeout)
         try:
-            return _STATUS.validate_python(
-                await self._channel.request(kind, body, timeout=timeout)
-            )
+            return _STATUS.validate_python(await self._channel.request(kind, body, timeout=timeout))
         except OutcomeUnknown:
             self._channel.close()  # a stopped server must not hold the channel for later calls
             raise
--- /dev/null
+++ b/src/wigeonpoint/connection/_messages.py
@@ -0,0 +1,120 @@
+"""Messages between the entry of a request and the owner of a backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from wigeonpoint.backend import Exchange, LogPosition
+from wigeonpoint.request import Rank
+from wigeonpoint.version import Durability
+
+
+@dataclass(frozen=True, slots=True)
+class WorkDetails:
+    """What the owner needs to queue a piece of work.
+
+    Attributes:
+        pool: Name of the pool, whose row holds limits and shares.
+        group: Name of the database group.
+        server_id: Backend server that the work is for.
+        route: Name of the route.
+        rank: Urgency.
+        caller: Name of the caller, for fair queueing.
+        remaining_ms: Milliseconds until the deadline, when the message was sent.
+        accept_any: Serve the work even if the receiver does not take itself to be the owner.
+    """
+
+    pool: str
+    group: str
+    server_id: str
+    route: str
+    rank: Rank
+    caller: str
+    remaining_ms: float
+    accept_any: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ExecuteMessage:
+    """Runs one statement.
+
+    Attributes:
+        work: Queueing details.
+        exchange: Statement and request id.
+        confirm: Whether the answer must be confirmed by a majority of the group.
+        durability: What a confirmation of a write requires.
+        required: Position that the server's log must contain, for reads on replicas.
+        message_id: Id by which the message can be cancelled.
+    """
+
+    work: WorkDetails
+    exchange: Exchange
+    confirm: bool
+    durability: Durability = Durability.MAJORITY
+    required: LogPosition | None = None
+    message_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ExecuteReply:
+    """The owner's answer to `ExecuteMessage`, `StatementMessage` and `CommitMessage`."""
+
+    rows: list[Any] = field(default_factory=list)
+    term: int = 0
+    position: int = 0
+    repeated: bool = False
+
+    @property
+    def at(self) -> LogPosition:
+        """Term and position that the rows reflect."""
+        return LogPosition(self.term, self.position)
+
+
+@dataclass(frozen=True, slots=True)
+class BeginMessage:
+    """Opens a transaction for a session."""
+
+    work: WorkDetails
+    session_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class BeginReply:
+    """Number of the transaction at its owner."""
+
+    number: str
+
+
+@dataclass(frozen=True, slots=True)
+class StatementMessage:
+    """Runs a statement in an open transaction."""
+
+    number: str
+    session_id: str
+    exchange: Exchange
+    remaining_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class CommitMessage:
+    """Commits an open transaction under a request id."""
+
+    number: str
+    session_id: str
+    request_id: str
+    remaining_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class RollbackMessage:
+    """Rolls an open transaction back."""
+
+    number: str
+    session_id: str
+    remaining_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledgement:
+    """An answer without content."""
--- /dev/null
+++ b/src/wigeonpoint/connection/_peers.py
@@ -0,0 +1,139 @@
+"""Requests between instances: the transport protocol and its implementation over channels."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any, Protocol, TypeVar
+
+from pydantic import TypeAdapter, ValidationError
+
+from wigeonpoint.channel import JsonChannel
+from wigeonpoint.errors import InvalidRequest, ResultCode
+
+CONNECT_TIMEOUT_S = 1.0
+PEER_KEY_HEADER = "X-Wigeonpoint-Peer-Key"
+
+MessageT = TypeVar("MessageT")
+ReplyT = TypeVar("ReplyT")
+
+
+class PeerTransport(Protocol):
+    """Sends typed messages to instances by address."""
+
+    async def request(
+        self, address: str, message: Any, reply_type: type[ReplyT], *, timeout: float
+    ) -> ReplyT:
+        """Sends a message and waits for its reply.
+
+        Raises:
+            NotRun: Nothing was sent, or the receiver refused.
+            OutcomeUnknown: The message was sent and no reply arrived.
+        """
+        ...
+
+    def close(self) -> None:
+        """Closes all connections."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class _Handler:
+    adapter: TypeAdapter[Any]
+    handle: Callable[[Any], Awaitable[Any]]
+
+
+class PeerDispatcher:
+    """Answers messages of peers through handlers by message type."""
+
+    def __init__(self) -> None:
+        self._handlers: dict[str, _Handler] = {}
+
+    def register(
+        self, message_type: type[MessageT], handle: Callable[[MessageT], Awaitable[Any]]
+    ) -> None:
+        """Sets the handler of a message type."""
+        self._handlers[message_type.__name__] = _Handler(TypeAdapter(message_type), handle)
+
+    async def respond(self, kind: str, body: Any) -> Any:
+        """Validates a message and hands it to its handler.
+
+        Raises:
+            InvalidRequest: INVALID_FIELD for a message that is unknown or does not validate.
+        """
+        handler = self._handlers.get(kind)
+        if handler is None:
+            raise InvalidRequest(ResultCode.INVALID_FIELD, f"unknown peer message {kind}")
+        try:
+            message = handler.adapter.validate_python(body)
+        except ValidationError as error:
+            raise InvalidRequest(
+                ResultCode.INVALID_FIELD, f"peer message {kind} does not validate: {error}"
+            ) from error
+        return await handler.handle(message)
+
+    async def deliver(self, message: Any) -> Any:
+        """Hands a message of this instance to itself, without encoding it."""
+        return await self._handlers[type(message).__name__].handle(message)
+
+
+class PeerChannels:
+    """Peer transport over one kept channel for each address.
+
+    Args:
+        own_address: Address of this instance, which is served without a connection.
+        dispatcher: Handlers of this instance.
+        peer_key: Shared secret that instances present to each other.
+    """
+
+    def __init__(self, own_address: str, dispatcher: PeerDispatcher, peer_key: str) -> None:
+        self._own_address = own_address
+        self._dispatcher = dispatcher
+        self._headers = {PEER_KEY_HEADER: peer_key}
+        self._channels: dict[str, JsonChannel] = {}
+        self._opening: dict[str, asyncio.Task[JsonChannel]] = {}
+        self._adapters: dict[type[Any], TypeAdapter[Any]] = {}
+
+    async def request(
+        self, address: str, message: Any, reply_type: type[ReplyT], *, timeout: float
+    ) -> ReplyT:
+        """Sends a message and waits for its reply."""
+        if address == self._own_address:
+            reply: ReplyT = await self._dispatcher.deliver(message)
+            return reply
+        channel = await self._channel(address)
+        body = await channel.request(type(message).__name__, message, timeout=timeout)
+        decoded: ReplyT = self._adapter(reply_type).validate_python(body)
+        return decoded
+
+    def close(self) -> None:
+        """Closes all channels."""
+        for opening in self._opening.values():
+            opening.cancel()
+        for channel in self._channels.values():
+            channel.close()
+        self._channels.clear()
+
+    async def _channel(self, address: str) -> JsonChannel:
+        channel = self._channels.get(address)
+        if channel is not None and not channel.closed:
+            return channel
+        opening = self._opening.get(address)
+        if opening is None:
+            opening = asyncio.create_task(self._open(address))
+            self._opening[address] = opening
+        return await asyncio.shield(opening)
+
+    async def _open(self, address: str) -> JsonChannel:
+        try:
+            channel = await JsonChannel.open(
+                f"ws://{address}/peer", timeout=CONNECT_TIMEOUT_S, headers=self._headers
+            )
+            self._channels[address] = channel
+            return channel
+        finally:
+            self._opening.pop(address, None)
+
+    def _adapter(self, reply_type: type[Any]) -> TypeAdapter[Any]:
+        return self._adapters.setdefault(reply_type, TypeAdapter(reply_type))
--- a/src/wigeonpoint/platform/_http.py
+++ b/src/wigeonpoint/platform/_http.py
@@ -66,7 +66,9 @@
 
     async def scan(self, table: str) -> list[Row]:
         """Reads all rows of a table in the order of their keys."""
-        return _ROWS.validate_json(await self._service.call("GET", f"/tables/{_part(table)}") or b"[]")
+        return _ROWS.validate_json(
+            await self._service.call("GET", f"/tables/{_part(table)}") or b"[]"
+        )
 
     async def transact(self, transaction: TableTransaction) -> None:
         """Applies a transaction; raises `ConditionFailed` when a check does not hold."""
--- /dev/null
+++ b/src/wigeonpoint/process/_caller_api.py
@@ -0,0 +1,251 @@
+"""HTTP interface of callers."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+from tornado.web import HTTPError, RequestHandler
+
+from wigeonpoint.errors import (
+    InvalidRequest,
+    Outcome,
+    OutcomeUnknown,
+    ResultCode,
+    WigeonpointError,
+)
+from wigeonpoint.process._configuration_feed import ConfigurationFeed
+from wigeonpoint.process._router import Router
+from wigeonpoint.process._settings import Settings
+from wigeonpoint.process._transaction_router import TransactionRouter
+from wigeonpoint.request import (
+    Answer,
+    BeginBody,
+    EndBody,
+    Rank,
+    Statement,
+    StatementBody,
+    StatementRequest,
+    TransactionStatementBody,
+    parse_body,
+)
+
+BEARER = "Bearer "
+_STATUS_BY_FAMILY = {1: 400, 2: 503, 3: 504, 4: 409, 5: 503}
+_STATUS_BY_CODE = {
+    ResultCode.DONE: 200,
+    ResultCode.UNAUTHORISED: 401,
+    ResultCode.UNKNOWN_ROUTE: 404,
+    ResultCode.UNKNOWN_PATH: 404,
+    ResultCode.UNKNOWN_TRANSACTION: 404,
+    ResultCode.METHOD_NOT_ALLOWED: 405,
+    ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.INTERNAL: 500,
+}
+
+
+@dataclass(slots=True)
+class CallerServices:
+    """What the handlers of callers use."""
+
+    settings: Settings
+    router: Router
+    transactions: TransactionRouter
+    feed: ConfigurationFeed
+
+
+class JsonHandler(RequestHandler):
+    """Answers with JSON, and with a numbered error for whatever goes wrong."""
+
+    def answer(self, answer: Answer, **extra: Any) -> None:
+        """Sends an answer with the HTTP status that belongs to its code."""
+        code = answer.code
+        self.set_status(_STATUS_BY_CODE.get(code) or _STATUS_BY_FAMILY.get(code // 100, 500))
+        self.set_header("Content-Type", "application/json")
+        if answer.retry_after_ms is not None:
+            self.set_header("Retry-After", str(math.ceil(answer.retry_after_ms / 1000)))
+        self.finish(orjson.dumps({**_fields(answer), **extra}))
+
+    def answer_error(self, error: WigeonpointError) -> None:
+        """Sends a numbered error."""
+        self.answer(
+            Answer(
+                code=error.code,
+                outcome=error.outcome,
+                message=error.message,
+                retry_after_ms=error.retry_after_ms,
+            )
+        )
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Turns tornado's own errors into numbered ones."""
+        codes = {404: ResultCode.UNKNOWN_PATH, 405: ResultCode.METHOD_NOT_ALLOWED}
+        if status_code in codes:
+            self.answer_error(InvalidRequest(codes[status_code], self._reason))
+        else:
+            self.answer_error(OutcomeUnknown(ResultCode.INTERNAL, "internal error"))
+
+    def bearer_name(self, names: dict[str, str]) -> str:
+        """Finds the name that belongs to the request's bearer token.
+
+        Raises:
+            InvalidRequest: UNAUTHORISED.
+        """
+        header = self.request.headers.get("Authorization", "")
+        name = names.get(header.removeprefix(BEARER)) if header.startswith(BEARER) else None
+        if name is None:
+            raise InvalidRequest(ResultCode.UNAUTHORISED, "send a known bearer token")
+        return name
+
+
+class UnknownPathHandler(JsonHandler):
+    """Answers paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Refuses the request."""
+        raise HTTPError(404, reason=f"there is no {self.request.path}")
+
+
+class CallerHandler(JsonHandler):
+    """Base of the handlers that callers reach."""
+
+    def initialize(self, services: CallerServices) -> None:
+        """Takes the services."""
+        self.services = services
+
+    async def run(self, work: Callable[[str], Awaitable[None]]) -> None:
+        """Checks token and size, then runs a handler; its errors become numbered answers."""
+        try:
+            caller = self.bearer_name(self.services.settings.callers)
+            limit = self.services.settings.limits.body_bytes
+            if len(self.request.body) > limit:
+                raise InvalidRequest(ResultCode.BODY_TOO_LARGE, f"the body has over {limit} bytes")
+            await work(caller)
+        except WigeonpointError as error:
+            self.answer_error(error)
+
+    def deadline(self, deadline_ms: int | None) -> float:
+        """Event-loop time, in seconds, until which the request may run."""
+        limits = self.services.settings.limits
+        wanted = deadline_ms or limits.default_deadline_ms
+        return asyncio.get_running_loop().time() + min(wanted, limits.max_deadline_ms) / 1000
+
+    def rank(self, route_name: str, rank: Rank | None) -> Rank:
+        """The stated rank, or the route's."""
+        route, _ = self.services.feed.configuration.resolve(route_name)
+        return rank or route.rank
+
+
+class StatementHandler(CallerHandler):
+    """`POST /v1/statements`."""
+
+    async def post(self) -> None:
+        """Runs a single statement."""
+        await self.run(self._run_statement)
+
+    async def _run_statement(self, caller: str) -> None:
+        body = parse_body(StatementBody, self.request.body)
+        request = StatementRequest(
+            route=body.route,
+            statement=Statement(body.text, body.parameters),
+            access=body.access,
+            request_id=body.request_id,
+            idempotent=body.idempotent,
+            rank=self.rank(body.route, body.rank),
+            caller=caller,
+            deadline=self.deadline(body.deadline_ms),
+            max_age_ms=body.max_age_ms,
+            session=body.session,
+        )
+        self.answer(await self.services.router.execute(request))
+
+
+class BeginHandler(CallerHandler):
+    """`POST /v1/transactions`."""
+
+    async def post(self) -> None:
+        """Opens a transaction."""
+        await self.run(self._run_begin)
+
+    async def _run_begin(self, caller: str) -> None:
+        body = parse_body(BeginBody, self.request.body)
+        transaction_id, answer = await self.services.transactions.begin(
+            body.route,
+            rank=self.rank(body.route, body.rank),
+            caller=caller,
+            deadline=self.deadline(body.deadline_ms),
+            session=body.session,
+        )
+        self.answer(answer, transaction=transaction_id)
+
+
+class TransactionStatementHandler(CallerHandler):
+    """`POST /v1/transactions/{id}/statements`."""
+
+    async def post(self, transaction_id: str) -> None:
+        """Runs a statement in a transaction."""
+
+        async def execute(caller: str) -> None:
+            body = parse_body(TransactionStatementBody, self.request.body)
+            answer = await self.services.transactions.execute(
+                transaction_id,
+                Statement(body.text, body.parameters),
+                body.access,
+                session=body.session,
+                deadline=self.deadline(body.deadline_ms),
+            )
+            self.answer(answer)
+
+        await self.run(execute)
+
+
+class TransactionEndHandler(CallerHandler):
+    """`POST /v1/transactions/{id}/commit` and `/rollback`."""
+
+    async def post(self, transaction_id: str, action: str) -> None:
+        """Ends a transaction."""
+
+        async def end(caller: str) -> None:
+            body = parse_body(EndBody, self.request.body or b"{}")
+            deadline = self.deadline(body.deadline_ms)
+            transactions = self.services.transactions
+            if action == "commit":
+                answer = await transactions.commit(
+                    transaction_id,
+                    request_id=body.request_id,
+                    session=body.session,
+                    deadline=deadline,
+                )
+            else:
+                answer = await transactions.rollback(
+                    transaction_id, session=body.session, deadline=deadline
+                )
+            self.answer(answer)
+
+        await self.run(end)
+
+
+def _fields(answer: Answer) -> dict[str, Any]:
+    fields: dict[str, Any] = {
+        "code": int(answer.code),
+        "name": answer.code.label,
+        "outcome": answer.outcome,
+    }
+    if answer.outcome is Outcome.DONE:
+        fields["rows"] = answer.rows
+        fields["from_replica"] = answer.from_replica
+        fields["repeated"] = answer.repeated
+    optional = {
+        "session": answer.session,
+        "request_id": answer.request_id,
+        "served_by": answer.served_by,
+        "age_ms": answer.age_ms,
+        "retry_after_ms": answer.retry_after_ms,
+        "message": answer.message or None,
+    }
+    fields.update({name: value for name, value in optional.items() if value is not None})
+    return fields
--- /dev/null
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -0,0 +1,134 @@
+"""Answers the messages that entries send to the owner of a backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from wigeonpoint.backend import Backend
+from wigeonpoint.connection import (
+    Acknowledgement,
+    BeginMessage,
+    BeginReply,
+    CommitMessage,
+    ExecuteMessage,
+    ExecuteReply,
+    PeerDispatcher,
+    RollbackMessage,
+    StatementMessage,
+    Transactions,
+    WorkDetails,
+)
+from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.process._owner import DEFAULT_CONNECTIONS, DEFAULT_SLOTS, OwnedServer
+from wigeonpoint.process._topology import Topology
+from wigeonpoint.version import BackendServer, Durability, GroupView, Pool
+
+STATUS_TIMEOUT_S = 1.0
+
+PoolLookup = Callable[[str], Pool | None]
+
+
+class OwnerService:
+    """The backend servers that this instance owns, and their open transactions.
+
+    Args:
+        topology: Live instances and groups.
+        backend: Access to backend servers.
+        pool_row: Gives the row of a pool by name, or None.
+    """
+
+    def __init__(self, topology: Topology, backend: Backend, pool_row: PoolLookup) -> None:
+        self._topology = topology
+        self._backend = backend
+        self._pool_row = pool_row
+        self._owned: dict[str, OwnedServer] = {}
+        self._opening: dict[str, asyncio.Lock] = {}
+        self._transactions = Transactions()
+
+    @property
+    def open_transactions(self) -> int:
+        """Number of open transactions."""
+        return self._transactions.count
+
+    def register(self, dispatcher: PeerDispatcher) -> None:
+        """Registers the handlers of all messages to an owner."""
+        dispatcher.register(ExecuteMessage, self.execute)
+        dispatcher.register(BeginMessage, self.begin)
+        dispatcher.register(StatementMessage, self.execute_in_transaction)
+        dispatcher.register(CommitMessage, self.commit)
+        dispatcher.register(RollbackMessage, self.rollback)
+
+    async def execute(self, message: ExecuteMessage) -> ExecuteReply:
+        """Runs one statement."""
+        owned = await self._owned_server(message.work)
+        return await owned.execute(message)
+
+    async def begin(self, message: BeginMessage) -> BeginReply:
+        """Opens a transaction on the primary."""
+        owned = await self._owned_server(message.work)
+        transaction = await owned.begin(message, self._transactions)
+        return BeginReply(transaction.number)
+
+    async def execute_in_transaction(self, message: StatementMessage) -> ExecuteReply:
+        """Runs a statement of an open transaction; its rows are provisional until the commit."""
+        transaction = self._transactions.find(message.number, message.session_id)
+        owned = self._owned[transaction.server_id]
+        deadline = asyncio.get_running_loop().time() + message.remaining_ms / 1000
+        async with owned.slot(deadline):
+            answer = await self._transactions.execute(
+                transaction, message.exchange, timeout=message.remaining_ms / 1000
+            )
+        return ExecuteReply(answer.rows, answer.term, answer.position)
+
+    async def commit(self, message: CommitMessage) -> ExecuteReply:
+        """Commits a transaction and has the commit confirmed."""
+        transaction = self._transactions.find(message.number, message.session_id)
+        owned = self._owned[transaction.server_id]
+        deadline = asyncio.get_running_loop().time() + message.remaining_ms / 1000
+        answer = await self._transactions.commit(
+            transaction, message.request_id, timeout=message.remaining_ms / 1000
+        )
+        await owned.confirm(answer.at, Durability.MAJORITY, deadline)
+        return ExecuteReply(answer.rows, answer.term, answer.position, answer.repeated)
+
+    async def rollback(self, message: RollbackMessage) -> Acknowledgement:
+        """Rolls a transaction back."""
+        transaction = self._transactions.find(message.number, message.session_id)
+        await self._transactions.rollback(transaction, timeout=message.remaining_ms / 1000)
+        return Acknowledgement()
+
+    def close(self) -> None:
+        """Rolls open transactions back and closes idle connections."""
+        self._transactions.close()
+        for owned in self._owned.values():
+            owned.pool.close_idle()
+
+    async def _owned_server(self, work: WorkDetails) -> OwnedServer:
+        group = self._topology.group(work.group)
+        server = group.server(work.server_id)
+        if server is None:
+            raise NotRun(
+                ResultCode.NOT_OWNER, f"backend server {work.server_id} is not listed here"
+            )
+        if not work.accept_any and not self._topology.owns(server):
+            raise NotRun(
+                ResultCode.NOT_OWNER, f"{self._topology.own.id} does not own {work.server_id}"
+            )
+        lock = self._opening.setdefault(server.id, asyncio.Lock())
+        async with lock:
+            if server.id not in self._owned:
+                self._owned[server.id] = await self._take_over(server, group, work)
+        return self._owned[server.id]
+
+    async def _take_over(
+        self, server: BackendServer, group: GroupView, work: WorkDetails
+    ) -> OwnedServer:
+        status = await self._backend.member(server.address).status(timeout=STATUS_TIMEOUT_S)
+        group.note_status(server.id, status)
+        row = self._pool_row(work.pool)
+        slots = (row.slots if row else None) or status.slots or DEFAULT_SLOTS
+        connections = (
+            (row.connections if row else None) or status.connection_limit or DEFAULT_CONNECTIONS
+        )
+        return OwnedServer(server, group, self._backend, slots=slots, connections=connections)
--- /dev/null
+++ b/src/wigeonpoint/process/_topology.py
@@ -0,0 +1,98 @@
+"""Live instances and the groups of backend servers, as this instance knows them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from wigeonpoint.backend import Backend
+from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.platform import Listing, ListingKind, ListingState
+from wigeonpoint.version import BackendServer, GroupView, InstanceRecord, owner_of
+
+
+class Topology:
+    """Instances, groups and owners.
+
+    Args:
+        own: Record of this instance, which always counts as live here.
+        backend: Access to backend servers.
+    """
+
+    def __init__(self, own: InstanceRecord, backend: Backend) -> None:
+        self._own = own
+        self._backend = backend
+        self._instances = {own.id: own}
+        self._groups: dict[str, GroupView] = {}
+
+    @property
+    def own(self) -> InstanceRecord:
+        """Record of this instance."""
+        return self._own
+
+    @property
+    def instances(self) -> list[InstanceRecord]:
+        """Live instances, this one included."""
+        return list(self._instances.values())
+
+    @property
+    def groups(self) -> list[GroupView]:
+        """Known database groups."""
+        return list(self._groups.values())
+
+    def group(self, name: str) -> GroupView:
+        """A database group.
+
+        Raises:
+            NotRun: UNKNOWN_GROUP when no backend server of the group is listed.
+        """
+        group = self._groups.get(name)
+        if group is None:
+            raise NotRun(ResultCode.UNKNOWN_GROUP, f"no backend server of group {name!r} is listed")
+        return group
+
+    def owner_of(self, server: BackendServer) -> InstanceRecord:
+        """Owner of a backend server among the live instances."""
+        return owner_of(server, self._instances.values()) or self._own
+
+    def owns(self, server: BackendServer) -> bool:
+        """Whether this instance owns a backend server."""
+        return self.owner_of(server).id == self._own.id
+
+    def set_instances(self, instances: list[InstanceRecord]) -> None:
+        """Replaces the live instances; this one stays among them."""
+        self._instances = {instance.id: instance for instance in instances}
+        self._instances[self._own.id] = self._own
+
+    def apply_listings(self, listings: list[Listing]) -> None:
+        """Takes the backend servers of a platform list.
+
+        A list without any backend server is ignored, because it says nothing about the groups.
+        """
+        servers: dict[str, list[BackendServer]] = defaultdict(list)
+        for listing in listings:
+            if listing.kind is ListingKind.BACKEND_SERVER:
+                servers[listing.group].append(_server(listing))
+        for name, members in servers.items():
+            self._apply_group(name, sorted(members, key=lambda server: server.id))
+
+    def close(self) -> None:
+        """Ends the tasks of all groups."""
+        for group in self._groups.values():
+            group.close()
+
+    def _apply_group(self, name: str, members: list[BackendServer]) -> None:
+        known = self._groups.get(name)
+        if known is None:
+            self._groups[name] = GroupView(name, members, self._backend)
+        elif known.servers != members:
+            known.set_servers(members)
+
+
+def _server(listing: Listing) -> BackendServer:
+    return BackendServer(
+        id=listing.id,
+        address=listing.address,
+        data_centre=listing.data_centre,
+        group=listing.group,
+        leaving=listing.state is ListingState.LEAVING,
+    )
--- a/src/wigeonpoint/request/__init__.py
+++ b/src/wigeonpoint/request/__init__.py
@@ -3,6 +3,24 @@
 from __future__ import annotations
 
 from wigeonpoint.request._answer import Answer
+from wigeonpoint.request._models import (
+    BeginBody,
+    EndBody,
+    StatementBody,
+    TransactionStatementBody,
+    parse_body,
+)
 from wigeonpoint.request._statement import Access, Rank, Statement, StatementRequest
 
-__all__ = ["Access", "Answer", "Rank", "Statement", "StatementRequest"]
+__all__ = [
+    "Access",
+    "Answer",
+    "BeginBody",
+    "EndBody",
+    "Rank",
+    "Statement",
+    "StatementBody",
+    "StatementRequest",
+    "TransactionStatementBody",
+    "parse_body",
+]
--- /dev/null
+++ b/src/wigeonpoint/standins/__init__.py
@@ -0,0 +1,19 @@
+"""Small stand-ins of the platform and of a database group, for the demo and tests."""
+
+from __future__ import annotations
+
+from wigeonpoint.standins._database import DatabaseMemberStandIn, MemberOptions
+from wigeonpoint.standins._database_server import database_application
+from wigeonpoint.standins._platform import PlatformFaults, PlatformStandIn
+from wigeonpoint.standins._tables import MemoryDirectory, MemoryObjects, MemoryTables
+
+__all__ = [
+    "DatabaseMemberStandIn",
+    "MemberOptions",
+    "MemoryDirectory",
+    "MemoryObjects",
+    "MemoryTables",
+    "PlatformFaults",
+    "PlatformStandIn",
+    "database_application",
+]
--- /dev/null
+++ b/src/wigeonpoint/standins/_tables.py
@@ -0,0 +1,83 @@
+"""In-memory table service, object store and directory."""
+
+from __future__ import annotations
+
+from wigeonpoint.errors import ConditionFailed
+from wigeonpoint.platform import Listing, Row, TableTransaction
+
+
+class MemoryTables:
+    """Tables of versioned rows with conditional transactions."""
+
+    def __init__(self) -> None:
+        self._tables: dict[str, dict[str, Row]] = {}
+
+    async def read(self, table: str, key: str) -> Row | None:
+        """Reads a row, or None when it is absent."""
+        return self._tables.get(table, {}).get(key)
+
+    async def scan(self, table: str) -> list[Row]:
+        """Reads all rows of a table in the order of their keys."""
+        rows = self._tables.get(table, {})
+        return [rows[key] for key in sorted(rows)]
+
+    async def transact(self, transaction: TableTransaction) -> None:
+        """Applies a transaction; raises `ConditionFailed` when a check does not hold."""
+        for check in transaction.checks:
+            self._require_version(check.table, check.key, check.version)
+        for put in transaction.puts:
+            self._put(put.table, put.key, put.value)
+        for delete in transaction.deletes:
+            self._tables.get(delete.table, {}).pop(delete.key, None)
+
+    def _require_version(self, table: str, key: str, version: int) -> None:
+        found = self._version(table, key)
+        if found != version:
+            raise ConditionFailed(f"{table}/{key} is at version {found}, not {version}")
+
+    def _put(self, table: str, key: str, value: dict[str, object]) -> None:
+        row = Row(key=key, value=dict(value), version=self._version(table, key) + 1)
+        self._tables.setdefault(table, {})[key] = row
+
+    def _version(self, table: str, key: str) -> int:
+        row = self._tables.get(table, {}).get(key)
+        return 0 if row is None else row.version
+
+
+class MemoryObjects:
+    """Objects by name."""
+
+    def __init__(self) -> None:
+        self._objects: dict[str, bytes] = {}
+
+    async def put(self, name: str, data: bytes) -> None:
+        """Writes an object."""
+        self._objects[name] = data
+
+    async def get(self, name: str) -> bytes | None:
+        """Reads an object, or None when it is absent."""
+        return self._objects.get(name)
+
+    async def names(self, prefix: str) -> list[str]:
+        """Lists the names that begin with a prefix, in order."""
+        return sorted(name for name in self._objects if name.startswith(prefix))
+
+
+class MemoryDirectory:
+    """A list of instances and backend servers that tests and the demo edit."""
+
+    def __init__(self, listings: list[Listing] | None = None) -> None:
+        self.listings = list(listings or [])
+
+    async def list(self) -> list[Listing]:
+        """Reads the list."""
+        return list(self.listings)
+
+    def replace(self, listing: Listing) -> None:
+        """Adds a listing or replaces the one with the same id."""
+        kept = [known for known in self.listings if known.id != listing.id]
+        self.listings = [*kept, listing]
+
+    def remove(self, listing_id: str) -> None:
+        """Removes a listing."""
+        self.listings = [known for known in self.listings if known.id != listing_id]
--- /dev/null
+++ b/src/wigeonpoint/version/_confirmation.py
@@ -0,0 +1,187 @@
+"""Confirmation that an answer of a primary is held by a majority and that its term is current.
+
+A member confirms (term, position) when it obeys that term, its log ends in that term, and its
+position is at or past the answer's. Only statuses that were requested after the statement ran
+count, so that a promotion before a read cannot be missed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
+from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.version._configuration import Durability
+from wigeonpoint.version._servers import BackendServer
+
+STATUS_TIMEOUT_S = 0.5
+POLL_PAUSE_S = 0.001  # between two polls of a member that is behind
+RETRY_PAUSE_S = 0.02  # between two polls of a member that did not answer
+
+
+@dataclass(slots=True)
+class _Waiter:
+    at: LogPosition
+    server_id: str
+    durability: Durability
+    joined_at: float
+    done: asyncio.Future[None] = field(repr=False)
+
+
+@dataclass(frozen=True, slots=True)
+class _Observation:
+    status: MemberStatus
+    requested_at: float
+
+
+class GroupConfirmer:
+    """Confirms answers of one group's primary; one task polls each member while answers wait.
+
+    All waiting answers share the polls, so the cost of a confirmation falls as load rises.
+
+    Args:
+        servers: Members of the group.
+        backend: Access to the members.
+    """
+
+    def __init__(self, servers: list[BackendServer], backend: Backend) -> None:
+        self._servers = servers
+        self._backend = backend
+        self._waiters: list[_Waiter] = []
+        self._observed: dict[str, _Observation] = {}
+        self._wanted = asyncio.Event()
+        self._pollers = [asyncio.create_task(self._poll(server)) for server in servers]
+
+    @property
+    def majority(self) -> int:
+        """Number of members that form a majority."""
+        return len(self._servers) // 2 + 1
+
+    def close(self) -> None:
+        """Ends the polling tasks; waiting answers end with an unknown outcome."""
+        for poller in self._pollers:
+            poller.cancel()
+        for waiter in self._waiters:
+            if not waiter.done.done():
+                waiter.done.set_exception(_replaced("the group's members have changed"))
+        self._waiters.clear()
+
+    async def confirm(
+        self,
+        at: LogPosition,
+        server_id: str,
+        *,
+        timeout: float,
+        durability: Durability = Durability.MAJORITY,
+    ) -> None:
+        """Waits until an answer is confirmed.
+
+        Args:
+            at: Term and position that the answer reflects.
+            server_id: Member that answered.
+            timeout: Seconds to wait.
+            durability: Whether a majority must hold the position or only obey the term.
+
+        Raises:
+            OutcomeUnknown: PRIMARY_REPLACED when a member obeys a later term,
+                CONFIRMATION_TIMEOUT when no majority confirmed in time.
+        """
+        loop = asyncio.get_running_loop()
+        waiter = _Waiter(at, server_id, durability, loop.time(), loop.create_future())
+        self._waiters.append(waiter)
+        self._wanted.set()
+        try:
+            await asyncio.wait_for(waiter.done, timeout)
+        except TimeoutError as error:
+            raise OutcomeUnknown(
+                ResultCode.CONFIRMATION_TIMEOUT,
+                f"no majority confirmed term {at.term} position {at.position} in time",
+            ) from error
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    async def _poll(self, server: BackendServer) -> None:
+        loop = asyncio.get_running_loop()
+        member = self._backend.member(server.address)
+        while True:
+            await self._wait_for_waiters()
+            requested_at = loop.time()
+            try:
+                status = await member.status(timeout=STATUS_TIMEOUT_S)
+            except WigeonpointError:
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            self._observed[server.id] = _Observation(status, requested_at)
+            self._evaluate()
+            if self._waiters:
+                await asyncio.sleep(POLL_PAUSE_S)
+
+    async def _wait_for_waiters(self) -> None:
+        while not self._waiters:
+            self._wanted.clear()
+            await self._wanted.wait()
+
+    def _evaluate(self) -> None:
+        for waiter in list(self._waiters):
+            if not waiter.done.done():
+                self._evaluate_waiter(waiter)
+            if waiter.done.done():
+                self._waiters.remove(waiter)
+
+    def _evaluate_waiter(self, waiter: _Waiter) -> None:
+        fresh = {
+            server_id: observation.status
+            for server_id, observation in self._observed.items()
+            if observation.requested_at >= waiter.joined_at
+        }
+        if any(status.fenced_term > waiter.at.term for status in fresh.values()):
+            waiter.done.set_exception(_replaced(f"term {waiter.at.term} has ended"))
+            return
+        if not self._is_primary(fresh.get(waiter.server_id), waiter.at.term):
+            return
+        confirming = sum(_confirms(status, waiter) for status in fresh.values())
+        if confirming >= self.majority:
+            waiter.done.set_result(None)
+
+    @staticmethod
+    def _is_primary(status: MemberStatus | None, term: int) -> bool:
+        return (
+            status is not None and status.role is MemberRole.PRIMARY and status.fenced_term == term
+        )
+
+
+def _confirms(status: MemberStatus, waiter: _Waiter) -> bool:
+    if status.fenced_term != waiter.at.term:
+        return False
+    if waiter.durability is Durability.PRIMARY:
+        return True
+    return status.log_term == waiter.at.term and status.position >= waiter.at.position
+
+
+def _replaced(message: str) -> OutcomeUnknown:
+    return OutcomeUnknown(ResultCode.PRIMARY_REPLACED, message)
+
+
+async def member_statuses(
+    servers: list[BackendServer], backend: Backend, *, timeout: float
+) -> dict[str, MemberStatus]:
+    """Asks all members for their status at once.
+
+    Returns:
+        Statuses by server id, of those that answered within `timeout` seconds.
+    """
+
+    async def ask(server: BackendServer) -> MemberStatus | None:
+        try:
+            return await backend.member(server.address).status(timeout=timeout)
+        except (NotRun, OutcomeUnknown):
+            return None
+
+    statuses = await asyncio.gather(*(ask(server) for server in servers))
+    return {
+        server.id: status
+        for server, status in zip(servers, statuses, strict=True)
+        if status is not None
+    }
--- /dev/null
+++ b/src/wigeonpoint/version/_group.py
@@ -0,0 +1,146 @@
+"""What an instance knows of a database group: members, primary and confirmed positions."""
+
+from __future__ import annotations
+
+import asyncio
+
+from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
+from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
+from wigeonpoint.version._servers import BackendServer
+
+DISCOVERY_TIMEOUT_S = 0.5
+
+
+class GroupView:
+    """One group as seen by this instance.
+
+    Args:
+        name: Name of the group.
+        servers: Its members.
+        backend: Access to the members.
+    """
+
+    def __init__(self, name: str, servers: list[BackendServer], backend: Backend) -> None:
+        self._name = name
+        self._servers = {server.id: server for server in servers}
+        self._backend = backend
+        self._primary_id: str | None = None
+        self._term = 0
+        self._positions: dict[str, LogPosition] = {}
+        self._confirmer: GroupConfirmer | None = None
+        self._discovery: asyncio.Task[None] | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the group."""
+        return self._name
+
+    @property
+    def servers(self) -> list[BackendServer]:
+        """Members of the group."""
+        return list(self._servers.values())
+
+    @property
+    def term(self) -> int:
+        """Highest term known."""
+        return self._term
+
+    @property
+    def primary(self) -> BackendServer | None:
+        """The primary of the highest known term, or None when it is not known."""
+        return self._servers.get(self._primary_id) if self._primary_id else None
+
+    @property
+    def replicas(self) -> list[BackendServer]:
+        """Members that are not the known primary."""
+        return [server for server in self.servers if server.id != self._primary_id]
+
+    @property
+    def confirmer(self) -> GroupConfirmer:
+        """Confirms answers of the primary; made on first use, since few instances need it."""
+        if self._confirmer is None:
+            self._confirmer = GroupConfirmer(self.servers, self._backend)
+        return self._confirmer
+
+    def set_servers(self, servers: list[BackendServer]) -> None:
+        """Replaces the members; confirmations restart only when membership itself changes."""
+        before = {(server.id, server.address) for server in self._servers.values()}
+        self._servers = {server.id: server for server in servers}
+        if before != {(server.id, server.address) for server in servers} and self._confirmer:
+            self._confirmer.close()
+            self._confirmer = None
+        if self._primary_id not in self._servers:
+            self._primary_id = None
+
+    def server(self, server_id: str) -> BackendServer | None:
+        """A member by id."""
+        return self._servers.get(server_id)
+
+    def position_of(self, server_id: str) -> LogPosition | None:
+        """Last position that a member was seen at."""
+        return self._positions.get(server_id)
+
+    def note_position(self, server_id: str, at: LogPosition) -> None:
+        """Records a position that a member's answer proved."""
+        known = self._positions.get(server_id)
+        if known is None or at > known:
+            self._positions[server_id] = at
+
+    def note_primary(self, server_id: str, term: int) -> bool:
+        """Records the primary of a term; a lower term than the known one is ignored.
+
+        Returns:
+            Whether the primary was not known before.
+        """
+        if term < self._term or server_id not in self._servers:
+            return False
+        changed = (server_id, term) != (self._primary_id, self._term)
+        self._primary_id = server_id
+        self._term = term
+        return changed
+
+    def note_status(self, server_id: str, status: MemberStatus) -> None:
+        """Records a member's status."""
+        self.note_position(server_id, status.at)
+        if status.role is MemberRole.PRIMARY:
+            self.note_primary(server_id, status.fenced_term)
+        elif server_id == self._primary_id and status.fenced_term >= self._term:
+            self._primary_id = None
+
+    def forget_primary(self, server_id: str) -> None:
+        """Forgets the primary after it refused to act as one."""
+        if self._primary_id == server_id:
+            self._primary_id = None
+
+    async def require_primary(self) -> BackendServer:
+        """The primary, asking the members when it is not known.
+
+        Raises:
+            NotRun: NO_PRIMARY when no member that answers is primary.
+        """
+        if self.primary is None:
+            await self._discover()
+        if self.primary is None:
+            raise NotRun(
+                ResultCode.NO_PRIMARY, f"group {self._name} has no primary now", retry_after_ms=250
+            )
+        return self.primary
+
+    def close(self) -> None:
+        """Ends the tasks of the group."""
+        if self._confirmer is not None:
+            self._confirmer.close()
+        if self._discovery is not None:
+            self._discovery.cancel()
+
+    async def _discover(self) -> None:
+        # Callers that wait for the same primary share one discovery.
+        if self._discovery is None or self._discovery.done():
+            self._discovery = asyncio.create_task(self._ask_members())
+        await asyncio.shield(self._discovery)
+
+    async def _ask_members(self) -> None:
+        statuses = await member_statuses(self.servers, self._backend, timeout=DISCOVERY_TIMEOUT_S)
+        for server_id, status in statuses.items():
+            self.note_status(server_id, status)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, one class a subject."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the repository: starting processes for the demo, tests and benches."""
