Split the instance core from its HTTP server and add numbered log events

Tests of failures need instances without sockets, so the core takes backend, platform and transport as interfaces, and the database stand-in takes its replication link the same way.

--- a/src/wigeonpoint/cli/_serve.py
+++ b/src/wigeonpoint/cli/_serve.py
@@ -11,7 +11,7 @@
 from wigeonpoint.backend import WebSocketBackend
 from wigeonpoint.cli._errors import numbered_errors
 from wigeonpoint.platform import http_platform
-from wigeonpoint.process import Instance, Settings, read_settings
+from wigeonpoint.process import Instance, Settings, configure_logs, read_settings
 
 
 @click.command()
@@ -29,6 +29,7 @@
 
 
 async def _serve(settings: Settings) -> None:
+    configure_logs(settings.log_level, instance_id=settings.instance.id)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/wigeonpoint/process/__init__.py
+++ b/src/wigeonpoint/process/__init__.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from wigeonpoint.process._core import InstanceCore
 from wigeonpoint.process._instance import Instance
+from wigeonpoint.process._logs import configure_logs
 from wigeonpoint.process._settings import Settings, read_settings
 
-__all__ = ["Instance", "Settings", "read_settings"]
+__all__ = ["Instance", "InstanceCore", "Settings", "configure_logs", "read_settings"]
--- a/src/wigeonpoint/process/_caller_api.py
+++ b/src/wigeonpoint/process/_caller_api.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -18,10 +17,7 @@
     ResultCode,
     WigeonpointError,
 )
-from wigeonpoint.process._configuration_feed import ConfigurationFeed
-from wigeonpoint.process._router import Router
-from wigeonpoint.process._settings import Settings
-from wigeonpoint.process._transaction_router import TransactionRouter
+from wigeonpoint.process._core import InstanceCore
 from wigeonpoint.request import (
     Answer,
     BeginBody,
@@ -48,16 +44,6 @@
 }
 
 
-@dataclass(slots=True)
-class CallerServices:
-    """What the handlers of callers use."""
-
-    settings: Settings
-    router: Router
-    transactions: TransactionRouter
-    feed: ConfigurationFeed
-
-
 class JsonHandler(RequestHandler):
     """Answers with JSON, and with a numbered error for whatever goes wrong."""
 
@@ -113,15 +99,15 @@
 class CallerHandler(JsonHandler):
     """Base of the handlers that callers reach."""
 
-    def initialize(self, services: CallerServices) -> None:
-        """Takes the services."""
-        self.services = services
+    def initialize(self, core: InstanceCore) -> None:
+        """Takes the parts of the instance."""
+        self.core = core
 
     async def run(self, work: Callable[[str], Awaitable[None]]) -> None:
         """Checks token and size, then runs a handler; its errors become numbered answers."""
         try:
-            caller = self.bearer_name(self.services.settings.callers)
-            limit = self.services.settings.limits.body_bytes
+            caller = self.bearer_name(self.core.settings.callers)
+            limit = self.core.settings.limits.body_bytes
             if len(self.request.body) > limit:
                 raise InvalidRequest(ResultCode.BODY_TOO_LARGE, f"the body has over {limit} bytes")
             await work(caller)
@@ -130,13 +116,13 @@
 
     def deadline(self, deadline_ms: int | None) -> float:
         """Event-loop time, in seconds, until which the request may run."""
-        limits = self.services.settings.limits
+        limits = self.core.settings.limits
         wanted = deadline_ms or limits.default_deadline_ms
         return asyncio.get_running_loop().time() + min(wanted, limits.max_deadline_ms) / 1000
 
     def rank(self, route_name: str, rank: Rank | None) -> Rank:
         """The stated rank, or the route's."""
-        route, _ = self.services.feed.configuration.resolve(route_name)
+        route, _ = self.core.feed.configuration.resolve(route_name)
         return rank or route.rank
 
 
@@ -161,7 +147,7 @@
             max_age_ms=body.max_age_ms,
             session=body.session,
         )
-        self.answer(await self.services.router.execute(request))
+        self.answer(await self.core.router.execute(request))
 
 
 class BeginHandler(CallerHandler):
@@ -173,7 +159,7 @@
 
     async def _run_begin(self, caller: str) -> None:
         body = parse_body(BeginBody, self.request.body)
-        transaction_id, answer = await self.services.transactions.begin(
+        transaction_id, answer = await self.core.transactions.begin(
             body.route,
             rank=self.rank(body.route, body.rank),
             caller=caller,
@@ -191,7 +177,7 @@
 
         async def execute(caller: str) -> None:
             body = parse_body(TransactionStatementBody, self.request.body)
-            answer = await self.services.transactions.execute(
+            answer = await self.core.transactions.execute(
                 transaction_id,
                 Statement(body.text, body.parameters),
                 body.access,
@@ -212,7 +198,7 @@
         async def end(caller: str) -> None:
             body = parse_body(EndBody, self.request.body or b"{}")
             deadline = self.deadline(body.deadline_ms)
-            transactions = self.services.transactions
+            transactions = self.core.transactions
             if action == "commit":
                 answer = await transactions.commit(
                     transaction_id,
--- a/src/wigeonpoint/standins/__init__.py
+++ b/src/wigeonpoint/standins/__init__.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
-from wigeonpoint.standins._database import DatabaseMemberStandIn, MemberOptions
+from wigeonpoint.standins._database import (
+    AppendEntries,
+    AppendReply,
+    DatabaseMemberStandIn,
+    MemberOptions,
+    ReplicationLink,
+)
 from wigeonpoint.standins._database_server import database_application
 from wigeonpoint.standins._platform import PlatformFaults, PlatformStandIn
 from wigeonpoint.standins._tables import MemoryDirectory, MemoryObjects, MemoryTables
 
 __all__ = [
+    "AppendEntries",
+    "AppendReply",
+    "ReplicationLink",
     "DatabaseMemberStandIn",
     "MemberOptions",
     "MemoryDirectory",
--- a/src/wigeonpoint/standins/_database.py
+++ b/src/wigeonpoint/standins/_database.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Protocol
 
 from pydantic import TypeAdapter
 
@@ -64,6 +64,33 @@
     position: int
 
 
+class ReplicationLink(Protocol):
+    """Carries replication messages to the other members."""
+
+    async def append(self, address: str, message: AppendEntries) -> AppendReply:
+        """Sends entries to a member; raises `WigeonpointError` when no reply arrives."""
+        ...
+
+
+class WebSocketReplicationLink:
+    """Replication over one kept channel for each member."""
+
+    def __init__(self) -> None:
+        self._channels: dict[str, JsonChannel] = {}
+
+    async def append(self, address: str, message: AppendEntries) -> AppendReply:
+        """Sends entries to a member."""
+        channel = self._channels.get(address)
+        if channel is None or channel.closed:
+            channel = await JsonChannel.open(f"ws://{address}/replication", timeout=1.0)
+            self._channels[address] = channel
+        try:
+            return _REPLY.validate_python(await channel.request("append", message, timeout=1.0))
+        except WigeonpointError:
+            channel.close()
+            raise
+
+
 _REPLY = TypeAdapter(AppendReply)
 
 
@@ -75,6 +102,7 @@
         peers: Addresses of the other members.
         primary: Whether it starts as the primary of term 1.
         options: Sizes and delays.
+        link: Carries replication messages; a WebSocket link by default.
     """
 
     def __init__(
@@ -84,12 +112,14 @@
         *,
         primary: bool = False,
         options: MemberOptions | None = None,
+        link: ReplicationLink | None = None,
     ) -> None:
         self.name = name
         self.options = options or MemberOptions()
         self.connections = 0
         self.peak_connections = 0
         self._peers = peers
+        self._link = link or WebSocketReplicationLink()
         self._fenced_term = 1
         self._role = MemberRole.PRIMARY if primary else MemberRole.REPLICA
         self._log: list[LogEntry] = [LogEntry(term=1)]
@@ -272,19 +302,14 @@
         ]
 
     async def _replicate(self, peer: str, term: int) -> None:
-        channel: JsonChannel | None = None
         sent = len(self._log)
         while self._role is MemberRole.PRIMARY and self._fenced_term == term:
             try:
-                if channel is None or channel.closed:
-                    channel = await JsonChannel.open(f"ws://{peer}/replication", timeout=1.0)
-                sent = await self._send_entries(channel, term, sent)
+                sent = await self._send_entries(peer, term, sent)
             except WigeonpointError:
-                if channel is not None:
-                    channel.close()
                 await asyncio.sleep(REPLICATION_RETRY_S)
 
-    async def _send_entries(self, channel: JsonChannel, term: int, sent: int) -> int:
+    async def _send_entries(self, peer: str, term: int, sent: int) -> int:
         if sent == len(self._log):
             self._grown.clear()
             await self._wait_for_growth()
@@ -292,11 +317,10 @@
             await asyncio.sleep(self.options.replication_ms / 1000)
         entries = self._log[sent : sent + REPLICATION_BATCH]
         message = AppendEntries(term, sent, self._log[sent - 1].term, entries)
-        body = await channel.request("append", message, timeout=1.0)
-        reply = _REPLY.validate_python(body)
+        reply = await self._link.append(peer, message)
         if reply.fenced_term > term:
             self.fence(reply.fenced_term)
-        return reply.position if reply.appended else max(1, reply.position)
+        return max(1, reply.position)
 
     async def _wait_for_growth(self) -> None:
         try:
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,239 @@
+"""Small fakes at the outside interfaces, in one event loop whose clock tests can advance."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from typing import Any, TypeVar
+
+from wigeonpoint.backend import BackendAnswer, Exchange, MemberStatus
+from wigeonpoint.connection import PeerDispatcher
+from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
+from wigeonpoint.standins import AppendEntries, AppendReply, DatabaseMemberStandIn, MemberOptions
+
+ReplyT = TypeVar("ReplyT")
+
+DELAY_S = 0.0005
+
+
+@dataclass(slots=True)
+class FakeNetwork:
+    """Reachability between data centres, and the processes at each address.
+
+    Attributes:
+        dispatchers: Instances by address.
+        members: Database members by address.
+        data_centres: Data centre of each address.
+        cuts: Pairs of data centres that cannot reach each other.
+        down: Addresses that do not answer.
+    """
+
+    dispatchers: dict[str, PeerDispatcher] = field(default_factory=dict)
+    members: dict[str, DatabaseMemberStandIn] = field(default_factory=dict)
+    data_centres: dict[str, str] = field(default_factory=dict)
+    cuts: set[frozenset[str]] = field(default_factory=set)
+    down: set[str] = field(default_factory=set)
+
+    def cut(self, one: str, other: str) -> None:
+        """Cuts two data centres off from each other."""
+        self.cuts.add(frozenset((one, other)))
+
+    def heal(self) -> None:
+        """Restores every link."""
+        self.cuts.clear()
+
+    def reachable(self, data_centre: str, address: str) -> bool:
+        """Whether processes of a data centre reach an address."""
+        if address in self.down or address not in self.data_centres:
+            return False
+        return frozenset((data_centre, self.data_centres[address])) not in self.cuts
+
+    async def travel(self, data_centre: str, address: str, timeout: float) -> None:
+        """Waits one way; raises OutcomeUnknown after the timeout when the address is cut off."""
+        if not self.reachable(data_centre, address):
+            await asyncio.sleep(timeout)
+            raise OutcomeUnknown(ResultCode.DEADLINE_EXCEEDED, f"no answer from {address}")
+        await asyncio.sleep(DELAY_S)
+
+
+class FakeReplicationLink:
+    """Replication from one member to the others over the fake network."""
+
+    def __init__(self, network: FakeNetwork, data_centre: str) -> None:
+        self._network = network
+        self._data_centre = data_centre
+
+    async def append(self, address: str, message: AppendEntries) -> AppendReply:
+        """Sends entries to a member."""
+        await self._network.travel(self._data_centre, address, 1.0)
+        reply = self._network.members[address].append_entries(message)
+        await self._network.travel(self._data_centre, address, 1.0)
+        return reply
+
+
+def add_group(
+    network: FakeNetwork,
+    group: str,
+    data_centres: list[str],
+    options: MemberOptions | None = None,
+) -> list[DatabaseMemberStandIn]:
+    """Adds a group with one member a data centre; names and addresses are `<group>-<index>`."""
+    addresses = [f"{group}-{index}" for index in range(len(data_centres))]
+    members = []
+    for index, (address, data_centre) in enumerate(zip(addresses, data_centres, strict=True)):
+        network.data_centres[address] = data_centre
+        member = DatabaseMemberStandIn(
+            address,
+            [other for other in addresses if other != address],
+            primary=index == 0,
+            options=replace(options or MemberOptions()),
+            link=FakeReplicationLink(network, data_centre),
+        )
+        network.members[address] = member
+        members.append(member)
+    for member in members:
+        member.start()
+    return members
+
+
+class FakeTransport:
+    """Peer transport of one instance over the fake network."""
+
+    def __init__(self, network: FakeNetwork, address: str, dispatcher: PeerDispatcher) -> None:
+        self._network = network
+        self._address = address
+        network.dispatchers[address] = dispatcher
+
+    async def request(
+        self, address: str, message: Any, reply_type: type[ReplyT], *, timeout: float
+    ) -> ReplyT:
+        """Delivers a message; a cut on the way back leaves the outcome unknown."""
+        own = self._network.data_centres[self._address]
+        if address != self._address:
+            if not self._network.reachable(own, address):
+                await asyncio.sleep(min(timeout, 1.0))
+                raise NotRun(ResultCode.PEER_UNREACHABLE, f"cannot connect to {address}")
+            await asyncio.sleep(DELAY_S)
+        try:
+            reply: ReplyT = await asyncio.wait_for(
+                self._network.dispatchers[address].deliver(message), timeout
+            )
+        except TimeoutError as error:
+            raise OutcomeUnknown(
+                ResultCode.DEADLINE_EXCEEDED, f"no answer from {address}"
+            ) from error
+        if address != self._address:
+            await self._network.travel(own, address, timeout)
+        return reply
+
+    def close(self) -> None:
+        """Takes the instance off the network."""
+        self._network.down.add(self._address)
+
+
+class FakeMember:
+    """Control interface of a member over the fake network."""
+
+    def __init__(self, network: FakeNetwork, data_centre: str, address: str) -> None:
+        self._network = network
+        self._data_centre = data_centre
+        self._address = address
+
+    async def status(self, *, timeout: float) -> MemberStatus:
+        """Reports role, terms and log end."""
+        return await self._call(lambda member: member.status(), timeout)
+
+    async def fence(self, term: int, *, timeout: float) -> MemberStatus:
+        """Fences the member."""
+        return await self._call(lambda member: member.fence(term), timeout)
+
+    async def promote(self, term: int, *, timeout: float) -> MemberStatus:
+        """Promotes the member."""
+        return await self._call(lambda member: member.promote(term), timeout)
+
+    async def _call(self, action: Any, timeout: float) -> MemberStatus:
+        await self._network.travel(self._data_centre, self._address, timeout)
+        status: MemberStatus = action(self._network.members[self._address])
+        await self._network.travel(self._data_centre, self._address, timeout)
+        return status
+
+
+class FakeConnection:
+    """Statement connection over the fake network."""
+
+    def __init__(self, network: FakeNetwork, data_centre: str, address: str) -> None:
+        self._network = network
+        self._data_centre = data_centre
+        self._address = address
+        self._member = network.members[address]
+        self._workspace: Any = None
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection can no longer be used."""
+        return self._closed
+
+    async def execute(self, exchange: Exchange, *, timeout: float) -> BackendAnswer:
+        """Runs a statement."""
+        answer: BackendAnswer = await self._call(
+            self._member.execute(self._workspace, exchange), timeout
+        )
+        return answer
+
+    async def begin(self, *, timeout: float) -> None:
+        """Opens a transaction."""
+        self._workspace = self._member.begin()
+
+    async def commit(self, request_id: str | None, *, timeout: float) -> BackendAnswer:
+        """Commits the transaction."""
+        workspace, self._workspace = self._workspace, None
+        return self._member.commit(workspace, request_id)
+
+    async def rollback(self, *, timeout: float) -> None:
+        """Rolls the transaction back."""
+        self._workspace = None
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if not self._closed:
+            self._closed = True
+            self._workspace = None
+            self._member.connections -= 1
+
+    async def _call(self, work: Any, timeout: float) -> Any:
+        try:
+            await self._network.travel(self._data_centre, self._address, timeout)
+            answer = await asyncio.wait_for(work, timeout)
+            await self._network.travel(self._data_centre, self._address, timeout)
+            return answer
+        except (TimeoutError, OutcomeUnknown) as error:
+            self.close()
+            raise OutcomeUnknown(
+                ResultCode.CONNECTION_LOST, f"connection to {self._address} was lost"
+            ) from error
+
+
+class FakeBackend:
+    """Backend of the instances of one data centre over the fake network."""
+
+    def __init__(self, network: FakeNetwork, data_centre: str) -> None:
+        self._network = network
+        self._data_centre = data_centre
+
+    def member(self, address: str) -> FakeMember:
+        """Control interface of the member at an address."""
+        return FakeMember(self._network, self._data_centre, address)
+
+    async def connect(self, address: str, *, timeout: float) -> FakeConnection:
+        """Opens a connection; the member's limit applies."""
+        if not self._network.reachable(self._data_centre, address):
+            await asyncio.sleep(min(timeout, 1.0))
+            raise NotRun(ResultCode.BACKEND_UNREACHABLE, f"cannot connect to {address}")
+        member = self._network.members[address]
+        if member.connections >= member.options.connection_limit:
+            raise NotRun(ResultCode.CONNECTION_LIMIT, f"{address} accepts no further connection")
+        member.connections += 1
+        member.peak_connections = max(member.peak_connections, member.connections)
+        await asyncio.sleep(member.options.connect_ms / 1000)
+        return FakeConnection(self._network, self._data_centre, address)
