Report service-level burn and export metrics

Answers are counted by route and rank in three windows of twelve buckets, merged across the instances that answer, and shown as a table, JSON or an HTML page. Metrics are gathered when a scrape asks for them, so that requests do not pay for the registry.

--- a/src/wigeonpoint/process/_caller_api.py
+++ b/src/wigeonpoint/process/_caller_api.py
@@ -18,7 +18,9 @@
     WigeonpointError,
 )
 from wigeonpoint.process._core import InstanceCore
+from wigeonpoint.process._request_recorder import objective_of
 from wigeonpoint.request import (
+    Access,
     Answer,
     BeginBody,
     EndBody,
@@ -114,6 +116,27 @@
         except WigeonpointError as error:
             self.answer_error(error)
 
+    async def measured(self, route: str, rank: Rank, work: Awaitable[Answer]) -> Answer:
+        """Waits for an answer and counts it for metrics and the burn report."""
+        started = asyncio.get_running_loop().time()
+        code, outcome = ResultCode.INTERNAL, Outcome.UNKNOWN
+        try:
+            answer = await work
+            code, outcome = answer.code, answer.outcome
+            return answer
+        except WigeonpointError as error:
+            code, outcome = error.code, error.outcome
+            raise
+        finally:
+            self.core.recorder.record(
+                route,
+                rank,
+                code=code,
+                outcome=outcome,
+                seconds=asyncio.get_running_loop().time() - started,
+                objective=objective_of(self.core.feed.configuration, route, rank),
+            )
+
     def deadline(self, deadline_ms: int | None) -> float:
         """Event-loop time, in seconds, until which the request may run."""
         limits = self.core.settings.limits
@@ -147,7 +170,10 @@
             max_age_ms=body.max_age_ms,
             session=body.session,
         )
-        self.answer(await self.core.router.execute(request))
+        answer = await self.measured(request.route, request.rank, self.core.router.execute(request))
+        if request.access is Access.READ:
+            self.core.recorder.record_read(from_replica=answer.from_replica)
+        self.answer(answer)
 
 
 class BeginHandler(CallerHandler):
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -11,9 +11,11 @@
     TransactionIds,
 )
 from wigeonpoint.platform import Platform
+from wigeonpoint.process._burn_service import BurnService
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
 from wigeonpoint.process._directory_feed import DirectoryFeed
 from wigeonpoint.process._owner_service import OwnerService
+from wigeonpoint.process._request_recorder import RequestRecorder
 from wigeonpoint.process._router import Router
 from wigeonpoint.process._settings import Settings
 from wigeonpoint.process._topology import Topology
@@ -52,6 +54,9 @@
         self.directory_feed = DirectoryFeed(platform.directory, self.topology)
         self.owners = OwnerService(self.topology, backend, self._pool_row)
         self.owners.register(dispatcher)
+        self.recorder = RequestRecorder()
+        self.burn = BurnService(self.topology, transport, self.recorder)
+        self.burn.register(dispatcher)
         keys = settings.session_keys
         tokens = SessionTokens(TokenSigner(keys.keys, keys.active, purpose="session"))
         ids = TransactionIds(TokenSigner(keys.keys, keys.active, purpose="transaction"))
--- a/src/wigeonpoint/process/_instance.py
+++ b/src/wigeonpoint/process/_instance.py
@@ -15,6 +15,7 @@
 from wigeonpoint.connection import PEER_KEY_HEADER, PeerChannels, PeerDispatcher
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.platform import Platform
+from wigeonpoint.process._burn_api import BurnHandler
 from wigeonpoint.process._caller_api import (
     BeginHandler,
     StatementHandler,
@@ -23,6 +24,7 @@
     UnknownPathHandler,
 )
 from wigeonpoint.process._core import InstanceCore
+from wigeonpoint.process._metrics import InstanceMetrics, MetricsHandler
 from wigeonpoint.process._settings import Settings
 from wigeonpoint.version import InstanceRecord
 
@@ -85,6 +87,8 @@
             (r"/v1/transactions", BeginHandler, options),
             (r"/v1/transactions/([^/]+)/statements", TransactionStatementHandler, options),
             (r"/v1/transactions/([^/]+)/(commit|rollback)", TransactionEndHandler, options),
+            (r"/admin/v1/burn", BurnHandler, options),
+            (r"/metrics", MetricsHandler, {"metrics": InstanceMetrics(core)}),
             (r"/peer", _PeerHandler, options),
             (r"/live", _HealthHandler, {"check": lambda: True}),
             (r"/ready", _HealthHandler, {"check": lambda: core.ready}),
--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from wigeonpoint.version._configuration import (
+    DEFAULT_OBJECTIVE,
+    DEFAULT_TARGETS,
     Configuration,
     Durability,
     Pool,
@@ -19,6 +21,8 @@
 )
 
 __all__ = [
+    "DEFAULT_OBJECTIVE",
+    "DEFAULT_TARGETS",
     "BackendServer",
     "Configuration",
     "Durability",
