--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,13 @@
 	$(BIN)/ruff check --fix src tests tools
 
 demo: $(STAMP)
-	PYTHONPATH=src $(BIN)/python -m tests.demo
+	PYTHONPATH=src $(BIN)/python -m tools.demo
+
+# A zipapp runs in the process that starts it; bundlers that unpack and fork would start a second one.
+binary: $(STAMP)
+	mkdir -p dist
+	$(BIN)/shiv --quiet --compressed --reproducible -c wigeonpoint -p '/usr/bin/env python3.11' \
+		-o dist/wigeonpoint --constraint requirements.txt .
 
 clean:
 	rm -rf build dist *.egg-info
