Replay recorded traces against stated outcomes

Traces drive either fakes on a virtual clock, where links between data centres can be cut, or separate processes, where signals can be sent. Callers append entries under request ids, so that the ledger shows lost, doubled and wrongly refused writes.

--- a/src/wigeonpoint/_errors.py
+++ b/src/wigeonpoint/_errors.py
@@ -167,12 +167,15 @@
     Returns:
         An exception of the class that covers the code's range.
     """
+    if code is ResultCode.CONDITION_FAILED:
+        return ConditionFailed(message)
     family = code // 100
     classes: dict[int, type[WigeonpointError]] = {
         1: InvalidRequest,
         2: NotRun,
         3: OutcomeUnknown,
         4: ConfigurationRefused,
+        6: SettingsError,
     }
     error_class = classes.get(family, OutcomeUnknown)
     return error_class(code, message, retry_after_ms=retry_after_ms)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,8 +8,17 @@
 
 from wigeonpoint.backend import BackendAnswer, Exchange, MemberStatus
 from wigeonpoint.connection import PeerDispatcher
-from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
-from wigeonpoint.standins import AppendEntries, AppendReply, DatabaseMemberStandIn, MemberOptions
+from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, StoreUnavailable
+from wigeonpoint.platform import Platform
+from wigeonpoint.standins import (
+    AppendEntries,
+    AppendReply,
+    DatabaseMemberStandIn,
+    MemberOptions,
+    MemoryDirectory,
+    MemoryObjects,
+    MemoryTables,
+)
 
 ReplyT = TypeVar("ReplyT")
 
@@ -237,3 +246,52 @@
         member.peak_connections = max(member.peak_connections, member.connections)
         await asyncio.sleep(member.options.connect_ms / 1000)
         return FakeConnection(self._network, self._data_centre, address)
+
+
+class FakePlatform:
+    """Platform services with outages, slow answers, lost answers and cut-off data centres."""
+
+    def __init__(self, network: FakeNetwork) -> None:
+        self.network = network
+        self.tables = MemoryTables()
+        self.objects = MemoryObjects()
+        self.directory = MemoryDirectory()
+        self.unavailable = False
+        self.lose_answers = False
+        self.delay_s = 0.0
+        self.cut_off: set[str] = set()
+
+    def seen_from(self, data_centre: str) -> Platform:
+        """The services as instances of a data centre reach them."""
+        return Platform(
+            _FaultyService(self, data_centre, self.tables),
+            _FaultyService(self, data_centre, self.objects),
+            _FaultyService(self, data_centre, self.directory),
+        )
+
+    async def call(self, data_centre: str, method: Any, arguments: tuple[Any, ...]) -> Any:
+        """Runs one call of a service with the faults that are set."""
+        await asyncio.sleep(DELAY_S + self.delay_s)
+        if self.unavailable or data_centre in self.cut_off:
+            raise StoreUnavailable("the platform does not answer")
+        result = await method(*arguments)
+        if self.lose_answers and method.__name__ in ("transact", "put"):
+            raise StoreUnavailable("the answer was lost after the change took effect")
+        return result
+
+
+class _FaultyService:
+    """Stands for any of the services; forwards calls through `FakePlatform.call`."""
+
+    def __init__(self, platform: FakePlatform, data_centre: str, service: Any) -> None:
+        self._platform = platform
+        self._data_centre = data_centre
+        self._service = service
+
+    def __getattr__(self, name: str) -> Any:
+        method = getattr(self._service, name)
+
+        async def call(*arguments: Any) -> Any:
+            return await self._platform.call(self._data_centre, method, arguments)
+
+        return call
--- /dev/null
+++ b/tests/replay/_processes.py
@@ -0,0 +1,119 @@
+"""Driver over separate processes on loopback; its clock is the wall clock."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections import Counter
+from typing import Any
+
+from tools.cluster import Cluster, call
+
+from tests.replay._replayer import Body
+from tests.replay._trace import Step, Trace
+
+GROUP = "signplan-0"
+ANSWER_TIMEOUT_S = 5.0
+
+
+class ProcessDriver:
+    """Processes of a trace.
+
+    Args:
+        trace: The trace, whose deployment is started.
+        cluster: Running cluster, which ends the processes.
+    """
+
+    def __init__(self, trace: Trace, cluster: Cluster) -> None:
+        self._deployment = trace.deployment
+        self._cluster = cluster
+        self._instances: list[str] = []
+
+    @property
+    def instances(self) -> list[str]:
+        """Names of the instances that a stream may use."""
+        return list(self._instances)
+
+    async def start(self) -> None:
+        """Starts everything and waits until every instance is ready."""
+        options = [
+            argument
+            for name, value in self._deployment.member_options.items()
+            for argument in (f"--{name.replace('_', '-')}", f"{value:g}")
+        ]
+        self._cluster.add_group(GROUP, self._deployment.members, options)
+        self._cluster.put_rows("pools", {"plans": {"group": GROUP}})
+        self._cluster.put_rows("routes", {"closures": {"pool": "plans"}})
+        for data_centre, names in self._deployment.instances.items():
+            for name in names:
+                self._start_instance(name, data_centre)
+        self._cluster.wait_ready(*self._instances)
+
+    async def statement(self, instance: str, body: Body) -> Body | None:
+        """Sends a statement; None when no answer arrives."""
+        try:
+            reply = await asyncio.to_thread(self._send, instance, body)
+        except OSError:
+            await asyncio.sleep(0.05)
+            return None
+        answer: Body = reply.body
+        return answer
+
+    async def fault(self, step: Step) -> None:
+        """Brings a fault about."""
+        handler: Any = getattr(self, f"_do_{step.do}")
+        await asyncio.to_thread(handler, step)
+
+    async def ledger(self) -> Counter[str]:
+        """Entries of the member with the highest log."""
+        members = await asyncio.to_thread(self._members)
+        newest = max(
+            members,
+            key=lambda member: (member["status"]["log_term"], member["status"]["position"]),
+        )
+        lists = [value for key, value in newest["data"].items() if key.startswith("entries-")]
+        return Counter(entry for entries in lists for entry in entries)
+
+    def _send(self, instance: str, body: Body) -> Any:
+        return self._cluster.statement(instance, **body)
+
+    def _members(self) -> list[Body]:
+        found = []
+        for name, process in self._cluster.processes.items():
+            if name.startswith(GROUP) and process.handle.poll() is None:
+                reply = call("GET", f"http://{process.address}/data", timeout=ANSWER_TIMEOUT_S)
+                found.append(reply.body)
+        return found
+
+    def _start_instance(self, name: str, data_centre: str) -> None:
+        peers = [self._cluster.processes[other].address for other in self._instances]
+        self._cluster.add_instance(
+            name, data_centre, peers=peers, **self._deployment.instance_settings
+        )
+        self._instances.append(name)
+
+    def _do_kill(self, step: Step) -> None:
+        self._cluster.processes[step.target].kill()
+        if step.target in self._instances:
+            self._instances.remove(step.target)
+
+    def _do_pause(self, step: Step) -> None:
+        self._cluster.processes[step.target].send_signal(signal.SIGSTOP)
+
+    def _do_resume(self, step: Step) -> None:
+        self._cluster.processes[step.target].send_signal(signal.SIGCONT)
+
+    def _do_terminate(self, step: Step) -> None:
+        self._cluster.processes[step.target].send_signal(signal.SIGTERM)
+        if step.target in self._instances:  # the balancer stops sending once readiness is false
+            self._instances.remove(step.target)
+
+    def _do_platform(self, step: Step) -> None:
+        call("POST", f"http://{self._cluster.platform}/faults", step.body)
+
+    def _do_member(self, step: Step) -> None:
+        address = self._cluster.processes[step.target].address
+        call("POST", f"http://{address}/options", step.body)
+
+    def _do_start_instance(self, step: Step) -> None:
+        self._start_instance(step.target, step.other)
--- /dev/null
+++ b/tests/test_proofs.py
@@ -0,0 +1,29 @@
+"""Promises proved by traces that are replayed against the stated outcome."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.replay import VirtualDriver, read_trace, replay
+from tests.replay._replayer import violations
+
+VIRTUAL_TRACES = ["calm-roaming-session", "instance-killed-in-stream"]
+
+
+class TestVirtualTraces:
+    """Traces over fakes, on a virtual clock."""
+
+    @pytest.mark.looptime(
+        noop_cycles=0
+    )  # the default of 42 idle cycles a step is eight times slower
+    @pytest.mark.parametrize("name", VIRTUAL_TRACES)
+    async def test_trace_ends_as_stated(self, name: str) -> None:
+        """Guards the promise that the trace names against the faults that it brings about."""
+        trace = read_trace(name)
+        driver = VirtualDriver(trace)
+        await driver.start()
+        try:
+            findings = await replay(trace, driver)
+        finally:
+            await driver.close()
+        assert violations(trace, findings) == []
