--- a/src/wigeonpoint/process/_caller_api.py
+++ b/src/wigeonpoint/process/_caller_api.py
@@ -49,6 +49,10 @@
 class JsonHandler(RequestHandler):
     """Answers with JSON, and with a numbered error for whatever goes wrong."""
 
+    def compute_etag(self) -> str | None:
+        """Leaves the ETag out: answers are never cached, and hashing each body costs time."""
+        return None
+
     def answer(self, answer: Answer, **extra: Any) -> None:
         """Sends an answer with the HTTP status that belongs to its code."""
         code = answer.code
