Keep membership between instances and drain on SIGTERM

SWIM-style membership replaces the platform's list as the source of live instances; two pollers in a data centre read the list and the rest fetch changes from peers. Ownership that moves is released, and SIGTERM finishes all work first.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -20,6 +20,12 @@
     INSTANCE_STOPPING = (101, logging.INFO, "graceful shutdown started")
     INSTANCE_STOPPED = (102, logging.INFO, "instance stopped")
     INTERNAL_ERROR = (103, logging.ERROR, "unexpected error")
+    DRAIN_FINISHED = (104, logging.INFO, "graceful shutdown has finished all work")
+    STOPPED_AT_ONCE = (105, logging.WARNING, "second signal: stopping without finishing work")
+
+    MEMBER_DEAD = (300, logging.WARNING, "an instance was declared dead")
+    DIRECTORY_UNAVAILABLE = (301, logging.WARNING, "the platform's list cannot be read")
+    DIRECTORY_AVAILABLE = (302, logging.INFO, "the platform's list can be read again")
 
     def __init__(self, number: int, level: int, sentence: str) -> None:
         self.number = number
--- a/src/wigeonpoint/cli/_serve.py
+++ b/src/wigeonpoint/cli/_serve.py
@@ -10,6 +10,7 @@
 
 from wigeonpoint.backend import WebSocketBackend
 from wigeonpoint.cli._errors import numbered_errors
+from wigeonpoint.events import Event, log_event
 from wigeonpoint.platform import http_platform
 from wigeonpoint.process import Instance, Settings, configure_logs, read_settings
 
@@ -23,20 +24,32 @@
     help="JSON file with the settings of the instance.",
 )
 def serve(path: Path) -> None:
-    """Run an entry instance until SIGTERM or SIGINT."""
+    """Run an entry instance until SIGTERM or SIGINT; a second signal ends it at once."""
     with numbered_errors():
         asyncio.run(_serve(read_settings(path)))
 
 
 async def _serve(settings: Settings) -> None:
     configure_logs(settings.log_level, instance_id=settings.instance.id)
-    stopping = asyncio.Event()
+    signals: asyncio.Queue[None] = asyncio.Queue()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(number, signals.put_nowait, None)
     platform = http_platform(settings.platform.address, timeout=settings.platform.timeout_ms / 1000)
     instance = Instance(settings, platform, WebSocketBackend())
     instance.start()
     click.echo(f"listening on {instance.record.address}")
-    await stopping.wait()
+    await signals.get()
+    await _drain_until_signal(instance, signals)
     await instance.stop()
+
+
+async def _drain_until_signal(instance: Instance, signals: asyncio.Queue[None]) -> None:
+    """Finishes the work in progress; a second signal ends the wait at once."""
+    draining = asyncio.create_task(instance.drain())
+    second = asyncio.create_task(signals.get())
+    await asyncio.wait({draining, second}, return_when=asyncio.FIRST_COMPLETED)
+    if not draining.done():
+        log_event(Event.STOPPED_AT_ONCE)
+    draining.cancel()
+    second.cancel()
--- a/src/wigeonpoint/connection/__init__.py
+++ b/src/wigeonpoint/connection/__init__.py
@@ -23,6 +23,9 @@
 from wigeonpoint.connection._session_token import Session, SessionTokens
 from wigeonpoint.connection._signing import TokenSigner
 from wigeonpoint.connection._transaction_id import TransactionId, TransactionIds
+from wigeonpoint.connection._transactions import (
+    IDLE_TIMEOUT_S as TRANSACTION_IDLE_TIMEOUT_S,
+)
 from wigeonpoint.connection._transactions import OpenTransaction, Transactions
 
 __all__ = [
@@ -43,6 +46,7 @@
     "SessionTokens",
     "StatementMessage",
     "TokenSigner",
+    "TRANSACTION_IDLE_TIMEOUT_S",
     "TransactionId",
     "TransactionIds",
     "Transactions",
--- a/src/wigeonpoint/connection/_backend_pool.py
+++ b/src/wigeonpoint/connection/_backend_pool.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import deque
+from contextlib import suppress
 
 from wigeonpoint.backend import Backend, BackendConnection
 from wigeonpoint.errors import NotRun, ResultCode
 
 REFUSED_PAUSE_S = 0.05
+REFUSED_PAUSE_MAX_S = 0.4
 
 
 class BackendPool:
@@ -27,6 +30,7 @@
         self._idle: list[BackendConnection] = []
         self._open = 0
         self._waiting: deque[asyncio.Future[None]] = deque()
+        self._keeps_idle = True
 
     @property
     def open(self) -> int:
@@ -39,20 +43,31 @@
         Args:
             deadline: Event-loop time, in seconds, until which to wait for a connection.
 
+        A connection that the server refuses because of its limit is tried again until the
+        deadline: after a change of ownership the former owner still holds connections.
+
         Raises:
             NotRun: CONNECTION_LIMIT or BACKEND_UNREACHABLE.
         """
         loop = asyncio.get_running_loop()
+        pause = REFUSED_PAUSE_S
         while True:
             connection = self._take_idle()
             if connection is not None:
                 return connection
             if self._open < self._limit:
-                return await self._connect(deadline - loop.time())
+                try:
+                    return await self._connect(deadline - loop.time())
+                except NotRun as error:
+                    await self._wait_after_refusal(error, pause, deadline)
+                pause = min(2 * pause, REFUSED_PAUSE_MAX_S)
+                continue
             await self._wait(deadline - loop.time())
 
     def release(self, connection: BackendConnection) -> None:
         """Gives a connection back; a closed one is dropped."""
+        if not self._keeps_idle:
+            connection.close()
         if connection.closed:
             self._open -= 1
         else:
@@ -71,6 +86,12 @@
             self._open -= 1
         self._idle.clear()
 
+    def keep_idle(self, keep: bool) -> None:
+        """Sets whether connections stay open between uses; False closes the idle ones."""
+        self._keeps_idle = keep
+        if not keep:
+            self.close_idle()
+
     def _take_idle(self) -> BackendConnection | None:
         while self._idle:
             connection = self._idle.pop()
@@ -88,6 +109,15 @@
             self._wake()
             raise
 
+    async def _wait_after_refusal(self, error: NotRun, pause: float, deadline: float) -> None:
+        """Waits for a free connection or the pause; raises the error when the deadline is near."""
+        jittered = random.uniform(pause / 2, pause)
+        loop = asyncio.get_running_loop()
+        if error.code is not ResultCode.CONNECTION_LIMIT or loop.time() + jittered >= deadline:
+            raise error
+        with suppress(NotRun):
+            await self._wait(jittered)
+
     async def _wait(self, timeout: float) -> None:
         freed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.append(freed)
--- a/src/wigeonpoint/connection/_peers.py
+++ b/src/wigeonpoint/connection/_peers.py
@@ -33,6 +33,10 @@
         """
         ...
 
+    def disconnect(self, address: str) -> None:
+        """Closes the connection to an instance that is dead; its requests end as unknown."""
+        ...
+
     def close(self) -> None:
         """Closes all connections."""
         ...
@@ -107,6 +111,15 @@
         decoded: ReplyT = self._adapter(reply_type).validate_python(body)
         return decoded
 
+    def disconnect(self, address: str) -> None:
+        """Closes the channel to an instance that is dead.
+
+        A machine that fails sends nothing, so its requests would otherwise wait for their deadline.
+        """
+        channel = self._channels.pop(address, None)
+        if channel is not None:
+            channel.close()
+
     def close(self) -> None:
         """Closes all channels."""
         for opening in self._opening.values():
--- a/src/wigeonpoint/connection/_transactions.py
+++ b/src/wigeonpoint/connection/_transactions.py
@@ -45,6 +45,10 @@
         """Number of open transactions."""
         return len(self._open)
 
+    def count_at(self, server_id: str) -> int:
+        """Number of open transactions at a backend server."""
+        return sum(transaction.server_id == server_id for transaction in self._open.values())
+
     async def begin(
         self,
         *,
--- a/src/wigeonpoint/process/_caller_api.py
+++ b/src/wigeonpoint/process/_caller_api.py
@@ -5,9 +5,11 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import orjson
+from tornado.iostream import StreamClosedError
 from tornado.web import HTTPError, RequestHandler
 
 from wigeonpoint.errors import (
@@ -47,6 +49,8 @@
 class JsonHandler(RequestHandler):
     """Answers with JSON, and with a numbered error for whatever goes wrong."""
 
+    sent: Awaitable[None] | None = None  # done once the answer has left the process
+
     def answer(self, answer: Answer, **extra: Any) -> None:
         """Sends an answer with the HTTP status that belongs to its code."""
         code = answer.code
@@ -54,7 +58,7 @@
         self.set_header("Content-Type", "application/json")
         if answer.retry_after_ms is not None:
             self.set_header("Retry-After", str(math.ceil(answer.retry_after_ms / 1000)))
-        self.finish(orjson.dumps({**_fields(answer), **extra}))
+        self.sent = self.finish(orjson.dumps({**_fields(answer), **extra}))
 
     def answer_error(self, error: WigeonpointError) -> None:
         """Sends a numbered error."""
@@ -105,6 +109,19 @@
 
     async def run(self, work: Callable[[str], Awaitable[None]]) -> None:
         """Checks token and size, then runs a handler; its errors become numbered answers."""
+        with self.core.drain.request_scope(self.request):
+            await self._run_checked(work)
+            if self.sent is not None:
+                with suppress(StreamClosedError):  # the caller has gone
+                    await self.sent
+
+    def answer(self, answer: Answer, **extra: Any) -> None:
+        """Sends an answer; while draining, tells the caller to open its next connection anew."""
+        if self.core.drain.draining:
+            self.set_header("Connection", "close")
+        super().answer(answer, **extra)
+
+    async def _run_checked(self, work: Callable[[str], Awaitable[None]]) -> None:
         try:
             caller = self.bearer_name(self.core.settings.callers)
             limit = self.core.settings.limits.body_bytes
@@ -134,6 +151,7 @@
         await self.run(self._run_statement)
 
     async def _run_statement(self, caller: str) -> None:
+        self.core.drain.require_accepting()
         body = parse_body(StatementBody, self.request.body)
         request = StatementRequest(
             route=body.route,
@@ -158,6 +176,7 @@
         await self.run(self._run_begin)
 
     async def _run_begin(self, caller: str) -> None:
+        self.core.drain.require_accepting()
         body = parse_body(BeginBody, self.request.body)
         transaction_id, answer = await self.core.transactions.begin(
             body.route,
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -4,21 +4,25 @@
 
 from wigeonpoint.backend import Backend
 from wigeonpoint.connection import (
+    TRANSACTION_IDLE_TIMEOUT_S,
     PeerDispatcher,
     PeerTransport,
     SessionTokens,
     TokenSigner,
     TransactionIds,
 )
-from wigeonpoint.platform import Platform
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.platform import Listing, ListingKind, ListingState, Platform
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
 from wigeonpoint.process._directory_feed import DirectoryFeed
+from wigeonpoint.process._drain import Drain
 from wigeonpoint.process._owner_service import OwnerService
 from wigeonpoint.process._router import Router
 from wigeonpoint.process._settings import Settings
+from wigeonpoint.process._swim import Swim, VersionHooks
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.process._transaction_router import TransactionRouter
-from wigeonpoint.version import Configuration, InstanceRecord, Pool
+from wigeonpoint.version import Configuration, InstanceRecord, Membership, Pool
 
 
 class InstanceCore:
@@ -49,9 +53,31 @@
         self.transport = transport
         self.topology = Topology(record, backend)
         self.feed = ConfigurationFeed(platform)
-        self.directory_feed = DirectoryFeed(platform.directory, self.topology)
+        self.drain = Drain()
         self.owners = OwnerService(self.topology, backend, self._pool_row)
         self.owners.register(dispatcher)
+        self.membership = Membership(
+            record, on_change=self._apply_members, on_dead=self._drop_member
+        )
+        self.directory_feed = DirectoryFeed(
+            platform.directory,
+            own=record,
+            live=self.membership.live,
+            transport=transport,
+            apply=self._apply_listings,
+        )
+        self.directory_feed.register(dispatcher)
+        self.swim = Swim(
+            self.membership,
+            transport,
+            seeds=settings.peers,
+            hooks=VersionHooks(
+                configuration=lambda: self.feed.configuration.number,
+                directory=lambda: self.directory_feed.version,
+                on_newer_directory=self.directory_feed.notice,
+            ),
+        )
+        self.swim.register(dispatcher)
         keys = settings.session_keys
         tokens = SessionTokens(TokenSigner(keys.keys, keys.active, purpose="session"))
         ids = TransactionIds(TokenSigner(keys.keys, keys.active, purpose="transaction"))
@@ -63,21 +89,53 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send requests here."""
-        return self.feed.configuration.number > 0 and bool(self.topology.groups)
+        known = self.feed.configuration.number > 0 and bool(self.topology.groups)
+        return known and self.swim.joined and not self.drain.draining
 
     def start(self) -> None:
         """Starts all tasks."""
         self.feed.start()
         self.directory_feed.start()
+        self.swim.start()
+        self.owners.start()
+
+    async def finish_work(self) -> None:
+        """Runs a graceful shutdown up to the point where `close` interrupts nothing."""
+        limits = self.settings.limits
+        await self.drain.run(
+            announce=self.swim.announce_leaving,
+            open_transactions=lambda: self.owners.open_transactions,
+            drain_seconds=self.settings.drain_seconds,
+            finish_seconds=2 * limits.max_deadline_ms / 1000 + TRANSACTION_IDLE_TIMEOUT_S,
+        )
 
     def close(self) -> None:
         """Ends all tasks and closes all connections."""
+        self.swim.close()
         self.feed.close()
         self.directory_feed.close()
         self.owners.close()
         self.transport.close()
         self.topology.close()
 
+    def _apply_members(self) -> None:
+        self.topology.set_instances(self.membership.live())
+        self.owners.apply_ownership()
+
+    def _drop_member(self, record: InstanceRecord) -> None:
+        log_event(Event.MEMBER_DEAD, member=record.id, address=record.address)
+        self.transport.disconnect(record.address)
+
+    def _apply_listings(self, listings: list[Listing]) -> None:
+        self.topology.apply_listings(listings)
+        entries = [entry for entry in listings if entry.kind is ListingKind.ENTRY]
+        records = [(InstanceRecord(e.id, e.address, e.data_centre), e.state) for e in entries]
+        self.membership.set_listed(
+            live=[record for record, state in records if state is ListingState.LIVE],
+            leaving=[record for record, state in records if state is ListingState.LEAVING],
+        )
+        self.owners.apply_ownership()
+
     def _configuration(self) -> Configuration:
         return self.feed.configuration
 
--- a/src/wigeonpoint/process/_directory_feed.py
+++ b/src/wigeonpoint/process/_directory_feed.py
@@ -1,54 +1,186 @@
-"""Keeps the topology in step with the platform's list."""
+"""Keeps this instance in step with the platform's list, through two pollers in a data centre."""
 
 from __future__ import annotations
 
 import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from hashlib import blake2b
 
-from wigeonpoint.errors import PlatformError
-from wigeonpoint.platform import Directory, Listing, ListingKind, ListingState
-from wigeonpoint.process._topology import Topology
-from wigeonpoint.version import InstanceRecord
+from wigeonpoint.connection import PeerDispatcher, PeerTransport
+from wigeonpoint.errors import PlatformError, WigeonpointError
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.platform import Directory, Listing
+from wigeonpoint.process._swim_messages import ListVersion
+from wigeonpoint.version import InstanceRecord, rendezvous_weight
 
 POLL_S = 0.5
+POLLERS = 2  # in each data centre, so that one may fail without a gap
+POLLER_KEY = "directory"
+FETCH_TIMEOUT_S = 2.0
+HISTORY = 256  # changes kept, so that peers fetch changes instead of the whole list
+
+
+@dataclass(frozen=True, slots=True)
+class ListChange:
+    """Difference between two versions of the list."""
+
+    before: ListVersion
+    after: ListVersion
+    put: list[Listing] = field(default_factory=list)
+    removed: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class FetchDirectoryMessage:
+    """Asks for what changed since a version."""
+
+    known: ListVersion
+
+
+@dataclass(frozen=True, slots=True)
+class FetchDirectoryReply:
+    """Changes in order, or the whole list when the known version is too old or foreign."""
+
+    version: ListVersion
+    changes: list[ListChange] = field(default_factory=list)
+    listings: list[Listing] | None = None
 
 
 class DirectoryFeed:
-    """Reads the platform's list and applies it to the topology.
+    """Holds the newest known version of the platform's list.
 
     Args:
         directory: The platform's list.
-        topology: Live instances and groups.
+        own: Record of this instance.
+        live: Gives the live instances, which share the polling.
+        transport: Sends messages to instances.
+        apply: Called with every new list.
     """
 
-    def __init__(self, directory: Directory, topology: Topology) -> None:
+    def __init__(
+        self,
+        directory: Directory,
+        *,
+        own: InstanceRecord,
+        live: Callable[[], list[InstanceRecord]],
+        transport: PeerTransport,
+        apply: Callable[[list[Listing]], None],
+    ) -> None:
         self._directory = directory
-        self._topology = topology
+        self._own = own
+        self._live = live
+        self._transport = transport
+        self._apply = apply
+        self._version = ListVersion()
+        self._listings: dict[str, Listing] = {}
+        self._history: deque[ListChange] = deque(maxlen=HISTORY)
         self._task: asyncio.Task[None] | None = None
+        self._fetch: asyncio.Task[None] | None = None
+        self._polls = 0
+        self._unavailable = False
+
+    @property
+    def version(self) -> ListVersion:
+        """Version of the list in use."""
+        return self._version
+
+    @property
+    def polls(self) -> int:
+        """Calls to the platform so far."""
+        return self._polls
+
+    @property
+    def polling(self) -> bool:
+        """Whether this instance is one of its data centre's pollers."""
+        local = [i for i in self._live() if i.data_centre == self._own.data_centre]
+        ids = sorted((i.id for i in local), key=lambda i: rendezvous_weight(POLLER_KEY, i))
+        return self._own.id in ids[-POLLERS:]
+
+    def register(self, dispatcher: PeerDispatcher) -> None:
+        """Registers the handler of peers that ask for the list."""
+        dispatcher.register(FetchDirectoryMessage, self.answer_fetch)
 
     def start(self) -> None:
-        """Starts polling."""
+        """Starts polling whenever this instance is a poller."""
         self._task = asyncio.create_task(self._poll())
 
     def close(self) -> None:
         """Ends polling."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in (self._task, self._fetch):
+            if task is not None:
+                task.cancel()
+
+    def notice(self, version: ListVersion, address: str) -> None:
+        """Fetches a newer version from the peer that has it, one fetch at a time."""
+        if version > self._version and (self._fetch is None or self._fetch.done()):
+            self._fetch = asyncio.create_task(self._fetch_from(address))
+
+    async def answer_fetch(self, message: FetchDirectoryMessage) -> FetchDirectoryReply:
+        """Answers with the changes since a version, or with the whole list."""
+        history = list(self._history)
+        for index, change in enumerate(history):
+            if change.before == message.known and message.known.number > 0:
+                return FetchDirectoryReply(self._version, history[index:])
+        return FetchDirectoryReply(self._version, listings=list(self._listings.values()))
 
     async def _poll(self) -> None:
         while True:
-            try:
-                listings = await self._directory.list()
-            except PlatformError:
-                pass  # the last list stays in use
-            else:
-                self._topology.apply_listings(listings)
-                self._topology.set_instances(_instances(listings))
+            if self.polling:
+                await self._poll_once()
             await asyncio.sleep(POLL_S)
 
+    async def _poll_once(self) -> None:
+        self._polls += 1
+        try:
+            found = {listing.id: listing for listing in await self._directory.list()}
+        except PlatformError:
+            self._note_available(False)  # the last list stays in use
+            return
+        self._note_available(True)
+        # A list that is empty says nothing; the platform never lists nobody.
+        if found and found != self._listings:
+            self._replace(found, ListVersion(self._version.number + 1, _digest(found)))
+
+    async def _fetch_from(self, address: str) -> None:
+        try:
+            reply = await self._transport.request(
+                address,
+                FetchDirectoryMessage(self._version),
+                FetchDirectoryReply,
+                timeout=FETCH_TIMEOUT_S,
+            )
+        except WigeonpointError:
+            return  # the next ping that carries the version tries again
+        for change in reply.changes:
+            self._apply_change(change)
+        if reply.listings is not None and reply.version > self._version:
+            self._replace({listing.id: listing for listing in reply.listings}, reply.version)
+
+    def _apply_change(self, change: ListChange) -> None:
+        if change.before != self._version:
+            return  # a poll or another fetch was faster
+        found = {i: listing for i, listing in self._listings.items() if i not in change.removed}
+        found.update({listing.id: listing for listing in change.put})
+        self._replace(found, change.after)
+
+    def _replace(self, found: dict[str, Listing], version: ListVersion) -> None:
+        put = [listing for i, listing in found.items() if self._listings.get(i) != listing]
+        removed = [i for i in self._listings if i not in found]
+        self._history.append(ListChange(self._version, version, put, removed))
+        self._version = version
+        self._listings = found
+        self._apply(list(found.values()))
+
+    def _note_available(self, available: bool) -> None:
+        if self._unavailable == available:
+            self._unavailable = not available
+            log_event(Event.DIRECTORY_AVAILABLE if available else Event.DIRECTORY_UNAVAILABLE)
+
 
-def _instances(listings: list[Listing]) -> list[InstanceRecord]:
-    return [
-        InstanceRecord(listing.id, listing.address, listing.data_centre)
-        for listing in listings
-        if listing.kind is ListingKind.ENTRY and listing.state is ListingState.LIVE
-    ]
+def _digest(listings: dict[str, Listing]) -> int:
+    digest = blake2b(digest_size=6)
+    for listing_id in sorted(listings):
+        digest.update(repr(listings[listing_id]).encode())
+    return int.from_bytes(digest.digest(), "big")
--- a/src/wigeonpoint/process/_instance.py
+++ b/src/wigeonpoint/process/_instance.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import hmac
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
@@ -26,6 +29,8 @@
 from wigeonpoint.process._settings import Settings
 from wigeonpoint.version import InstanceRecord
 
+CALLER_PREFIX = "/v1/"
+CLOSE_TIMEOUT_S = 1.0
 BODY_OVERHEAD_BYTES = 1_048_576  # bodies up to this far over the limit get a numbered error
 
 
@@ -68,18 +73,27 @@
         self._server.add_sockets(self._sockets)
         log_event(Event.INSTANCE_STARTED, address=self.record.address)
 
+    async def drain(self) -> None:
+        """Makes readiness false, announces leaving and waits until no work is left.
+
+        Connections are accepted meanwhile: transactions that are open here still get statements.
+        """
+        log_event(Event.INSTANCE_STOPPING)
+        await self._core.finish_work()
+
     async def stop(self) -> None:
         """Stops accepting connections and ends all tasks."""
-        log_event(Event.INSTANCE_STOPPING)
         self._server.stop()
         self._core.close()
-        await self._server.close_all_connections()
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._server.close_all_connections(), CLOSE_TIMEOUT_S)
         log_event(Event.INSTANCE_STOPPED)
 
 
 def _application(core: InstanceCore) -> Application:
     options = {"core": core}
-    return Application(
+    return _CountingApplication(
+        core,
         [
             (r"/v1/statements", StatementHandler, options),
             (r"/v1/transactions", BeginHandler, options),
@@ -90,10 +104,24 @@
             (r"/ready", _HealthHandler, {"check": lambda: core.ready}),
         ],
         default_handler_class=UnknownPathHandler,
-        log_function=lambda handler: None,
+        log_function=lambda handler: core.drain.forget_arrival(handler.request),
     )
 
 
+class _CountingApplication(Application):
+    """Counts requests of callers from their headers on, before their body has arrived."""
+
+    def __init__(self, core: InstanceCore, handlers: list[Any], **options: Any) -> None:
+        super().__init__(handlers, **options)
+        self._core = core
+
+    def find_handler(self, request: HTTPServerRequest, **kwargs: Any) -> Any:
+        """Finds the handler of a request whose headers have arrived."""
+        if request.path.startswith(CALLER_PREFIX):
+            self._core.drain.note_arrival(request)
+        return super().find_handler(request, **kwargs)
+
+
 class _PeerHandler(ChannelHandler):
     """Channel of another instance."""
 
@@ -107,7 +135,8 @@
             self.send_error(401)
 
     async def respond(self, kind: str, body: Any) -> Any:
-        return await self._core.dispatcher.respond(kind, body)
+        with self._core.drain.peer_scope():
+            return await self._core.dispatcher.respond(kind, body)
 
 
 class _HealthHandler(RequestHandler):
--- a/src/wigeonpoint/process/_owner.py
+++ b/src/wigeonpoint/process/_owner.py
@@ -54,6 +54,19 @@
         """Connections to the server."""
         return self._pool
 
+    @property
+    def server(self) -> BackendServer:
+        """The backend server."""
+        return self._server
+
+    def release_ownership(self) -> None:
+        """Closes idle connections now and busy ones as they finish."""
+        self._pool.keep_idle(False)
+
+    def resume_ownership(self) -> None:
+        """Keeps connections open between uses again."""
+        self._pool.keep_idle(True)
+
     async def execute(self, message: ExecuteMessage) -> ExecuteReply:
         """Runs a statement and has it confirmed where the message asks for it."""
         deadline = _deadline(message.work)
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from wigeonpoint.backend import Backend
 from wigeonpoint.connection import (
@@ -20,6 +22,7 @@
     WorkDetails,
 )
 from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.process._handover import Handover
 from wigeonpoint.process._owner import DEFAULT_CONNECTIONS, DEFAULT_SLOTS, OwnedServer
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.version import BackendServer, Durability, GroupView, Pool
@@ -45,12 +48,27 @@
         self._owned: dict[str, OwnedServer] = {}
         self._opening: dict[str, asyncio.Lock] = {}
         self._transactions = Transactions()
+        self._users: Counter[str] = Counter()
+        self._handover = Handover(topology, self._owned, backend, self._in_use)
 
     @property
     def open_transactions(self) -> int:
         """Number of open transactions."""
         return self._transactions.count
 
+    @property
+    def owned_servers(self) -> list[str]:
+        """Backend servers that this instance holds state for."""
+        return list(self._owned)
+
+    def start(self) -> None:
+        """Starts following changes of ownership."""
+        self._handover.start()
+
+    def apply_ownership(self) -> None:
+        """Releases the servers that another instance owns after a change of the topology."""
+        self._handover.apply()
+
     def register(self, dispatcher: PeerDispatcher) -> None:
         """Registers the handlers of all messages to an owner."""
         dispatcher.register(ExecuteMessage, self.execute)
@@ -62,12 +80,15 @@
     async def execute(self, message: ExecuteMessage) -> ExecuteReply:
         """Runs one statement."""
         owned = await self._owned_server(message.work)
-        return await owned.execute(message)
+        self._refuse_read_while_leaving(message)
+        with self._use(owned):
+            return await owned.execute(message)
 
     async def begin(self, message: BeginMessage) -> BeginReply:
         """Opens a transaction on the primary."""
         owned = await self._owned_server(message.work)
-        transaction = await owned.begin(message, self._transactions)
+        with self._use(owned):
+            transaction = await owned.begin(message, self._transactions)
         return BeginReply(transaction.number)
 
     async def execute_in_transaction(self, message: StatementMessage) -> ExecuteReply:
@@ -100,6 +121,7 @@
 
     def close(self) -> None:
         """Rolls open transactions back and closes idle connections."""
+        self._handover.close()
         self._transactions.close()
         for owned in self._owned.values():
             owned.pool.close_idle()
@@ -119,7 +141,28 @@
         async with lock:
             if server.id not in self._owned:
                 self._owned[server.id] = await self._take_over(server, group, work)
-        return self._owned[server.id]
+        owned = self._owned[server.id]
+        if not self._topology.owns(server):
+            owned.release_ownership()  # served for a peer with another view; nothing is kept
+        return owned
+
+    @contextmanager
+    def _use(self, owned: OwnedServer) -> Iterator[None]:
+        """Keeps the state of a server from being dropped while a request uses it."""
+        self._users[owned.server.id] += 1
+        try:
+            yield
+        finally:
+            self._users[owned.server.id] -= 1
+
+    def _in_use(self, server_id: str) -> bool:
+        return self._users[server_id] > 0 or self._transactions.count_at(server_id) > 0
+
+    def _refuse_read_while_leaving(self, message: ExecuteMessage) -> None:
+        """Refuses replica reads at a leaving server; work for the primary lasts until handover."""
+        server = self._topology.group(message.work.group).server(message.work.server_id)
+        if server is not None and server.leaving and not message.confirm:
+            raise NotRun(ResultCode.BACKEND_LEAVING, f"{server.id} is leaving")
 
     async def _take_over(
         self, server: BackendServer, group: GroupView, work: WorkDetails
--- a/src/wigeonpoint/process/_router.py
+++ b/src/wigeonpoint/process/_router.py
@@ -118,7 +118,9 @@
         for server in self._replicas_nearest_first(attempt.group):
             try:
                 reply = await self._send(attempt, server, confirm=False)
-            except (NotRun, OutcomeUnknown):
+            except (NotRun, OutcomeUnknown) as error:
+                if error.code is ResultCode.BACKEND_LEAVING:
+                    attempt.group.note_leaving(server.id)
                 continue
             return self._answer(attempt, server, reply, from_replica=True)
         return None
--- a/src/wigeonpoint/process/_topology.py
+++ b/src/wigeonpoint/process/_topology.py
@@ -14,7 +14,7 @@
     """Instances, groups and owners.
 
     Args:
-        own: Record of this instance, which always counts as live here.
+        own: Record of this instance.
         backend: Access to backend servers.
     """
 
@@ -23,6 +23,7 @@
         self._backend = backend
         self._instances = {own.id: own}
         self._groups: dict[str, GroupView] = {}
+        self._owners: dict[str, InstanceRecord] = {}
 
     @property
     def own(self) -> InstanceRecord:
@@ -31,7 +32,7 @@
 
     @property
     def instances(self) -> list[InstanceRecord]:
-        """Live instances, this one included."""
+        """Live instances, this one included unless it is leaving."""
         return list(self._instances.values())
 
     @property
@@ -52,16 +53,21 @@
 
     def owner_of(self, server: BackendServer) -> InstanceRecord:
         """Owner of a backend server among the live instances."""
-        return owner_of(server, self._instances.values()) or self._own
+        owner = self._owners.get(server.id)
+        if owner is None:
+            # Kept until the instances change: the hashes of 131 instances cost more than a lookup.
+            owner = owner_of(server, self._instances.values()) or self._own
+            self._owners[server.id] = owner
+        return owner
 
     def owns(self, server: BackendServer) -> bool:
         """Whether this instance owns a backend server."""
         return self.owner_of(server).id == self._own.id
 
     def set_instances(self, instances: list[InstanceRecord]) -> None:
-        """Replaces the live instances; this one stays among them."""
+        """Replaces the live instances; this one is missing among them while it is leaving."""
         self._instances = {instance.id: instance for instance in instances}
-        self._instances[self._own.id] = self._own
+        self._owners.clear()
 
     def apply_listings(self, listings: list[Listing]) -> None:
         """Takes the backend servers of a platform list.
@@ -72,6 +78,7 @@
         for listing in listings:
             if listing.kind is ListingKind.BACKEND_SERVER:
                 servers[listing.group].append(_server(listing))
+        self._owners.clear()
         for name, members in servers.items():
             self._apply_group(name, sorted(members, key=lambda server: server.id))
 
--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -11,6 +11,7 @@
 )
 from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
 from wigeonpoint.version._group import GroupView
+from wigeonpoint.version._membership import MemberDelta, Membership, MemberState
 from wigeonpoint.version._servers import (
     BackendServer,
     InstanceRecord,
@@ -25,6 +26,9 @@
     "GroupConfirmer",
     "GroupView",
     "InstanceRecord",
+    "MemberDelta",
+    "MemberState",
+    "Membership",
     "Pool",
     "RankTarget",
     "Route",
--- a/src/wigeonpoint/version/_group.py
+++ b/src/wigeonpoint/version/_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
 from wigeonpoint.errors import NotRun, ResultCode
@@ -28,6 +29,7 @@
         self._primary_id: str | None = None
         self._term = 0
         self._positions: dict[str, LogPosition] = {}
+        self._reported_leaving: set[str] = set()
         self._confirmer: GroupConfirmer | None = None
         self._discovery: asyncio.Task[None] | None = None
 
@@ -66,7 +68,7 @@
     def set_servers(self, servers: list[BackendServer]) -> None:
         """Replaces the members; confirmations restart only when membership itself changes."""
         before = {(server.id, server.address) for server in self._servers.values()}
-        self._servers = {server.id: server for server in servers}
+        self._servers = {server.id: self._with_report(server) for server in servers}
         if before != {(server.id, server.address) for server in servers} and self._confirmer:
             self._confirmer.close()
             self._confirmer = None
@@ -103,11 +105,20 @@
     def note_status(self, server_id: str, status: MemberStatus) -> None:
         """Records a member's status."""
         self.note_position(server_id, status.at)
+        if status.leaving:
+            self.note_leaving(server_id)
         if status.role is MemberRole.PRIMARY:
             self.note_primary(server_id, status.fenced_term)
         elif server_id == self._primary_id and status.fenced_term >= self._term:
             self._primary_id = None
 
+    def note_leaving(self, server_id: str) -> None:
+        """Records that a member reports that it is leaving, which the list may not say yet."""
+        self._reported_leaving.add(server_id)
+        server = self._servers.get(server_id)
+        if server is not None:
+            self._servers[server_id] = self._with_report(server)
+
     def forget_primary(self, server_id: str) -> None:
         """Forgets the primary after it refused to act as one."""
         if self._primary_id == server_id:
@@ -134,6 +145,11 @@
         if self._discovery is not None:
             self._discovery.cancel()
 
+    def _with_report(self, server: BackendServer) -> BackendServer:
+        if server.id in self._reported_leaving and not server.leaving:
+            return replace(server, leaving=True)
+        return server
+
     async def _discover(self) -> None:
         # Callers that wait for the same primary share one discovery.
         if self._discovery is None or self._discovery.done():
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -126,6 +126,9 @@
             await self._network.travel(own, address, timeout)
         return reply
 
+    def disconnect(self, address: str) -> None:
+        """Does nothing: a message over the fake network has a timeout of its own."""
+
     def close(self) -> None:
         """Takes the instance off the network."""
         self._network.down.add(self._address)
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,203 @@
+"""Ownership that moves, backend servers that leave, and graceful shutdown."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+
+from tests.membership_fleet import Fleet
+from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.platform import Listing, ListingKind, ListingState
+from wigeonpoint.process import InstanceCore
+from wigeonpoint.request import Access, Answer, Rank, Statement, StatementRequest
+from wigeonpoint.standins import MemberOptions
+
+LIMIT = 4
+NAMES = ["chur-1", "chur-2", "chur-3"]
+pytestmark = pytest.mark.looptime
+
+
+@pytest_asyncio.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    """An empty fleet; its instances start in `_settle`, on the virtual clock of the test."""
+    random.seed(11)
+    fleet = Fleet()
+    yield fleet
+    fleet.close()
+
+
+async def _settle(fleet: Fleet) -> None:
+    """Starts three instances before a group of three members with few connections."""
+    await fleet.add_group(["chur"] * 3, MemberOptions(connection_limit=LIMIT, statement_ms=5))
+    for name in NAMES:
+        fleet.add(name, "chur")
+    await fleet.wait_agreed(*NAMES, limit=20)
+    await asyncio.sleep(3)
+
+
+async def _run(
+    core: InstanceCore, text: str, *, write: bool, session: str | None = None, limit: float = 5.0
+) -> Answer:
+    return await core.router.execute(
+        StatementRequest(
+            route="r",
+            statement=Statement(text, []),
+            access=Access.WRITE if write else Access.READ,
+            request_id=None,
+            idempotent=False,
+            rank=Rank.STANDARD,
+            caller="c",
+            deadline=asyncio.get_running_loop().time() + limit,
+            max_age_ms=None,
+            session=session,
+        )
+    )
+
+
+def _owner(fleet: Fleet, server_id: str = "g-0") -> str:
+    core = next(iter(fleet.cores.values()))
+    server = core.topology.group("g").server(server_id)
+    assert server is not None
+    return core.topology.owner_of(server).id
+
+
+class TestHandover:
+    """Backend servers whose owner changes."""
+
+    async def test_moving_under_load_loses_and_repeats_nothing(self, fleet: Fleet) -> None:
+        """Guards against refused connections that reach callers, and against a second run."""
+        await _settle(fleet)
+        former = _owner(fleet)
+        acknowledged: Counter[int] = Counter()
+        ending = False
+
+        async def add(worker: int) -> None:
+            while not ending:
+                core = fleet.cores[NAMES[worker % len(NAMES)]]
+                await _run(core, f"ADD k{worker} 1", write=True)
+                acknowledged[worker] += 1
+
+        workers = [asyncio.create_task(add(worker)) for worker in range(24)]
+        await asyncio.sleep(2)
+        await fleet.cores[former].swim.announce_leaving()
+        await asyncio.sleep(4)
+        ending = True
+        await asyncio.gather(*workers)
+        member = fleet.network.members["g-0"]
+        assert _owner(fleet) != former
+        assert {f"k{worker}": count for worker, count in acknowledged.items()} == member.data
+        assert min(acknowledged.values()) > 10
+        assert member.peak_connections <= LIMIT
+        await asyncio.sleep(2)
+        assert "g-0" not in fleet.cores[former].owners.owned_servers
+
+    async def test_new_owner_waits_for_the_former_owners_connections(self, fleet: Fleet) -> None:
+        """Guards against a refused connection that fails the request before its deadline."""
+        await _settle(fleet)
+        member = fleet.network.members["g-0"]
+        await _run(fleet.cores["chur-1"], "ADD n 1", write=True)
+        owner = fleet.cores[_owner(fleet)].owners
+        owner._owned["g-0"].pool.close_idle()
+        member.connections += LIMIT  # held by a former owner
+        asyncio.get_running_loop().call_later(1.0, setattr, member, "connections", 0)
+        message_count = len(owner.owned_servers)
+        answer = await _run(fleet.cores["chur-1"], "ADD n 1", write=True)
+        assert (answer.rows, len(owner.owned_servers)) == ([2], message_count)
+
+    async def test_open_transaction_ends_at_the_former_owner(self, fleet: Fleet) -> None:
+        """Guards against a transaction that is cut off when ownership moves."""
+        await _settle(fleet)
+        former, core = _owner(fleet), fleet.cores["chur-1"]
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + 30
+        number, begun = await core.transactions.begin(
+            "r", rank=Rank.STANDARD, caller="c", deadline=deadline, session=None
+        )
+        await fleet.cores[former].swim.announce_leaving()
+        await asyncio.sleep(4)
+        put = Statement("PUT t 1", [])
+        await core.transactions.execute(
+            number, put, Access.WRITE, session=begun.session, deadline=deadline
+        )
+        await core.transactions.commit(
+            number, request_id=None, session=begun.session, deadline=deadline
+        )
+        await asyncio.sleep(2)
+        assert fleet.network.members["g-0"].data["t"] == "1"
+        assert fleet.cores[former].owners.owned_servers == []
+        assert fleet.network.members["g-0"].connections == 0
+
+
+class TestLeavingServer:
+    """Backend servers that leave."""
+
+    @pytest.mark.parametrize("listed", [True, False])
+    async def test_leaving_replica_gets_no_new_reads(self, fleet: Fleet, listed: bool) -> None:
+        """Guards against reads at a server that is listed as leaving or reports it."""
+        await _settle(fleet)
+        core = fleet.cores["chur-1"]
+        session = (await _run(core, "PUT a 1", write=True)).session
+        await asyncio.sleep(0.5)
+        assert (await _run(core, "GET a", write=False, session=session)).served_by == "g-1"
+        kind = ListingKind.BACKEND_SERVER
+        if listed:
+            leaving = ListingState.LEAVING
+            fleet.directory.replace(Listing("g-1", kind, "g-1", "chur", "g", leaving))
+        else:
+            fleet.network.members["g-1"].options.leaving = True
+        await asyncio.sleep(3)
+        for name in NAMES:
+            answer = await _run(fleet.cores[name], "GET a", write=False, session=session)
+            assert answer.served_by == "g-2"
+
+
+class TestDrain:
+    """Graceful shutdown of the core."""
+
+    async def test_waits_for_callers_requests_and_transactions(self, fleet: Fleet) -> None:
+        """Guards against closing while the balancer still sends or work is in progress."""
+        await _settle(fleet)
+        core, loop = fleet.cores["chur-1"], asyncio.get_running_loop()
+        started = loop.time()
+        number, begun = await core.transactions.begin(
+            "r", rank=Rank.STANDARD, caller="c", deadline=started + 30, session=None
+        )
+        holder = fleet.cores[_owner(fleet)]
+        draining = asyncio.create_task(holder.finish_work())
+        for _ in range(5):
+            await asyncio.sleep(1)
+            assert not holder.ready
+            holder.drain.note_arrival(request := _Request())
+            holder.drain.require_accepting()
+            holder.drain.forget_arrival(request)
+        await asyncio.sleep(2.5)
+        assert not draining.done()  # the transaction is still open
+        with pytest.raises(NotRun) as refused:
+            holder.drain.require_accepting()
+        assert refused.value.code is ResultCode.INSTANCE_STOPPING
+        await core.transactions.commit(
+            number, request_id=None, session=begun.session, deadline=loop.time() + 5
+        )
+        await asyncio.sleep(0.2)
+        assert draining.done()
+
+    async def test_wait_for_callers_is_bounded(self, fleet: Fleet) -> None:
+        """Guards against a shutdown that never ends because a balancer keeps sending."""
+        await _settle(fleet)
+        core, loop = fleet.cores["chur-1"], asyncio.get_running_loop()
+        started = loop.time()
+        draining = asyncio.create_task(core.finish_work())
+        while not draining.done():
+            core.drain.note_arrival(request := _Request())
+            core.drain.forget_arrival(request)
+            await asyncio.sleep(0.5)
+        assert loop.time() - started <= core.settings.drain_seconds + 1
+
+
+class _Request:
+    """Stands for an HTTP request."""
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,164 @@
+"""Membership between instances and the spread of the platform's list."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+
+from tests.membership_fleet import Fleet
+from wigeonpoint.platform import Listing, ListingKind, ListingState
+
+CHUR = ["chur-1", "chur-2", "chur-3", "chur-4"]
+SARGANS = ["sargans-1", "sargans-2", "sargans-3"]
+pytestmark = pytest.mark.looptime
+
+
+@pytest_asyncio.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    """An empty fleet; its instances start in `_settle`, on the virtual clock of the test."""
+    random.seed(7)
+    fleet = Fleet()
+    yield fleet
+    fleet.close()
+
+
+async def _settle(fleet: Fleet) -> None:
+    """Starts two data centres and waits until they agree on each other."""
+    for name in [*CHUR, *SARGANS]:
+        fleet.add(name, name.split("-")[0])
+    await fleet.wait_agreed(*CHUR, *SARGANS, limit=20)
+    await asyncio.sleep(5)
+
+
+class TestFailureDetection:
+    """Dead and paused instances."""
+
+    async def test_dead_instance_is_known_everywhere(self, fleet: Fleet) -> None:
+        """Guards against a dead instance that stays live because the list still has it."""
+        await _settle(fleet)
+        fleet.kill("chur-2")
+        rest = [name for name in [*CHUR, *SARGANS] if name != "chur-2"]
+        await fleet.wait_agreed(*rest, limit=8)
+        await asyncio.sleep(20)
+        assert fleet.agreed(*rest)
+
+    async def test_one_cut_pair_does_not_kill(self, fleet: Fleet) -> None:
+        """Guards against one lossy link that takes a live instance out: others are asked."""
+        await _settle(fleet)
+        fleet.network.data_centres["chur-1"] = "lab"
+        fleet.network.cut("lab", "sargans")
+        seen = set()
+        for _ in range(200):
+            seen |= {r.id for r in fleet.cores["chur-2"].topology.instances} ^ {*CHUR, *SARGANS}
+            await asyncio.sleep(0.1)
+        assert seen == set()
+
+    async def test_paused_instance_refutes_after_its_death(self, fleet: Fleet) -> None:
+        """Guards against an instance that stays dead after a pause longer than suspicion."""
+        await _settle(fleet)
+        dispatcher = fleet.cores["chur-3"].dispatcher
+        fleet.cores["chur-3"].swim.close()
+        dispatcher.running.clear()
+        others = {name for name in [*CHUR, *SARGANS] if name != "chur-3"}
+        await asyncio.sleep(8)
+        assert fleet.views()["chur-1"] == others
+        dispatcher.running.set()
+        fleet.cores["chur-3"].swim.start()
+        await fleet.wait_agreed(*CHUR, *SARGANS, limit=15)
+        assert fleet.cores["chur-3"].membership.refutations > 0
+
+    async def test_restart_at_another_address_replaces_the_record(self, fleet: Fleet) -> None:
+        """Guards against work that is sent to the address of a former process."""
+        await _settle(fleet)
+        fleet.kill("chur-4")
+        fleet.add("chur-4", "chur", address="chur-4b")
+        await asyncio.sleep(10)
+        assert fleet.agreed(*CHUR, *SARGANS)
+        for core in fleet.cores.values():
+            addresses = {record.id: record.address for record in core.topology.instances}
+            assert addresses["chur-4"] == "chur-4b"
+
+
+class TestPartition:
+    """Data centres that are cut off and come back."""
+
+    async def test_sides_merge_again(self, fleet: Fleet) -> None:
+        """Guards against sides that hold each other for dead for ever after a partition."""
+        await _settle(fleet)
+        fleet.network.cut("chur", "sargans")
+        await asyncio.sleep(60)
+        assert fleet.views()["chur-1"] == set(CHUR)
+        assert fleet.views()["sargans-1"] == set(SARGANS)
+        fleet.directory.available = False
+        fleet.network.heal()
+        await fleet.wait_agreed(*CHUR, *SARGANS, limit=30)
+
+    async def test_healing_does_not_kill_neighbours(self, fleet: Fleet) -> None:
+        """Guards against claims of the other side that empty the own data centre for a moment."""
+        await _settle(fleet)
+        fleet.network.cut("chur", "sargans")
+        await asyncio.sleep(60)
+        fleet.network.heal()
+        for _ in range(300):
+            assert set(CHUR) <= fleet.views()["chur-1"]
+            await asyncio.sleep(0.1)
+
+
+class TestList:
+    """The platform's list, which lags and fails."""
+
+    async def test_unlisted_live_instance_stays_live(self, fleet: Fleet) -> None:
+        """Guards against a list that takes a live instance out."""
+        await _settle(fleet)
+        fleet.directory.remove("chur-1")
+        await asyncio.sleep(10)
+        assert fleet.agreed(*CHUR, *SARGANS)
+
+    async def test_listed_instance_without_process_is_not_live(self, fleet: Fleet) -> None:
+        """Guards against a list that makes an instance live before it answers."""
+        await _settle(fleet)
+        fleet.network.data_centres["ghost"] = "chur"
+        fleet.network.down.add("ghost")
+        fleet.directory.replace(Listing("ghost", ListingKind.ENTRY, "ghost", "chur"))
+        await asyncio.sleep(10)
+        assert fleet.agreed(*CHUR, *SARGANS)
+
+    async def test_leaving_mark_takes_work_away(self, fleet: Fleet) -> None:
+        """Guards against an instance that gets work after the list says that it is leaving."""
+        await _settle(fleet)
+        leaving = Listing("chur-1", ListingKind.ENTRY, "chur-1", "chur", "", ListingState.LEAVING)
+        fleet.directory.replace(leaving)
+        await fleet.wait_agreed(*CHUR[1:], *SARGANS, limit=5)
+
+    async def test_two_pollers_in_each_data_centre(self, fleet: Fleet) -> None:
+        """Guards against every instance reading the platform's list."""
+        await _settle(fleet)
+        before = fleet.directory.reads
+        await asyncio.sleep(10)
+        assert fleet.directory.reads - before <= 2 * 2 * 21
+        listing = Listing("db-0", ListingKind.BACKEND_SERVER, "db-0", "chur", "g")
+        fleet.directory.replace(listing)
+        await asyncio.sleep(5)
+        assert all(core.topology.groups for core in fleet.cores.values())
+
+    async def test_start_during_platform_outage(self, fleet: Fleet) -> None:
+        """Guards against an instance that needs the platform to find its peers and the list."""
+        await _settle(fleet)
+        fleet.directory.replace(Listing("db-0", ListingKind.BACKEND_SERVER, "db-0", "chur", "g"))
+        await asyncio.sleep(5)
+        fleet.directory.available = False
+        started = fleet.add("sargans-9", "sargans", peers=["chur-1"])
+        await fleet.wait_agreed(*CHUR, *SARGANS, "sargans-9", limit=10)
+        await asyncio.sleep(2)
+        assert started.swim.joined
+        assert [group.name for group in started.topology.groups] == ["g"]
+
+    async def test_leaving_instance_gets_no_ownership(self, fleet: Fleet) -> None:
+        """Guards against work that is sent to an instance that announced its leave."""
+        await _settle(fleet)
+        await fleet.cores["chur-1"].swim.announce_leaving()
+        await fleet.wait_agreed(*CHUR[1:], *SARGANS, limit=3)
