--- a/src/wigeonpoint/process/__init__.py
+++ b/src/wigeonpoint/process/__init__.py
@@ -6,5 +6,14 @@
 from wigeonpoint.process._instance import Instance
 from wigeonpoint.process._logs import configure_logs
 from wigeonpoint.process._settings import Settings, read_settings
+from wigeonpoint.process._swim import Swim, VersionHooks
 
-__all__ = ["Instance", "InstanceCore", "Settings", "configure_logs", "read_settings"]
+__all__ = [
+    "Instance",
+    "InstanceCore",
+    "Settings",
+    "Swim",
+    "VersionHooks",
+    "configure_logs",
+    "read_settings",
+]
--- a/src/wigeonpoint/process/_swim.py
+++ b/src/wigeonpoint/process/_swim.py
@@ -183,12 +183,15 @@
         size = 1 + len(self._membership.reachable(own))
         chosen: list[InstanceRecord] = []
         for name in [own, *self._membership.data_centres()]:
+            linked = self._random.random() < LINKS_PER_DATA_CENTRE / size
+            if name != own and not linked:
+                continue  # avoids looking through all members of every data centre
             known = self._membership.lost(name)
             untried = [record for record in known if record.address not in self._tried]
             chosen += untried[: FIRST_CONTACTS - len(chosen)]
             if name != own:
                 known += [delta.record for delta in self._membership.reachable(name)]
-            if known and self._random.random() < LINKS_PER_DATA_CENTRE / size:
+            if known and linked:
                 chosen.append(self._random.choice(known))
         return chosen
 
@@ -245,11 +248,13 @@
 
     async def _join(self) -> None:
         """Asks seeds and candidates for their members until one has answered."""
+        list_known = self._hooks.directory().number > 0
         names = [self._own_record.data_centre, *self._membership.data_centres()]
         listed = [record.address for name in names for record in self._membership.lost(name)]
         addresses = [*self._seeds, *self._random.sample(listed, min(FIRST_CONTACTS, len(listed)))]
         synced = await asyncio.gather(*(self._sync(address) for address in addresses))
-        if any(synced) or self._hooks.directory().number > 0:
+        # Without an answer, only a list whose instances have been tried shows that nobody is there.
+        if any(synced) or list_known:
             self._joined = True
 
     async def _sync(self, address: str) -> bool:
--- a/src/wigeonpoint/process/_transaction_router.py
+++ b/src/wigeonpoint/process/_transaction_router.py
@@ -26,8 +26,10 @@
 from wigeonpoint.process._router import ConfigurationLookup
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.request import Access, Answer, Rank, Statement
+from wigeonpoint.version import GroupView, Pool, Route
 
 REQUEST_ID_BYTES = 12
+OWNER_RETRY_S = 0.1
 
 ReplyT = TypeVar("ReplyT")
 
@@ -68,6 +70,26 @@
         route, pool = self._configuration().resolve(route_name)
         known = self._tokens.decode(session)
         group = self._topology.group(pool.group)
+        while True:
+            try:
+                return await self._begin_once(route, pool, group, known, rank, caller, deadline)
+            except NotRun as error:
+                # While ownership moves, the instances' views differ for up to a second.
+                moving = error.code in (ResultCode.NOT_OWNER, ResultCode.PEER_UNREACHABLE)
+                if not moving or _remaining(deadline) <= OWNER_RETRY_S:
+                    raise
+            await asyncio.sleep(OWNER_RETRY_S)
+
+    async def _begin_once(
+        self,
+        route: Route,
+        pool: Pool,
+        group: GroupView,
+        known: Session,
+        rank: Rank,
+        caller: str,
+        deadline: float,
+    ) -> tuple[str, Answer]:
         primary = await group.require_primary()
         work = WorkDetails(
             pool=pool.name,
--- a/src/wigeonpoint/version/_membership.py
+++ b/src/wigeonpoint/version/_membership.py
@@ -74,6 +74,7 @@
         self._digests: dict[str, int] = {own.data_centre: _fingerprint(self._members[own.id])}
         self._candidates: dict[str, InstanceRecord] = {}
         self._marks: dict[str, str] = {}  # address by id of instances that are listed as leaving
+        self._data_centres: set[str] = set()
         self._refutations = 0
 
     @property
@@ -131,10 +132,8 @@
         ]
 
     def data_centres(self) -> list[str]:
-        """Other data centres that have members or candidates."""
-        names = {delta.record.data_centre for delta in self._members.values()}
-        names |= {record.data_centre for record in self._candidates.values()}
-        return sorted(names - {self._own.data_centre})
+        """Other data centres that have or had members or candidates."""
+        return sorted(self._data_centres)
 
     def set_listed(self, live: Iterable[InstanceRecord], leaving: Iterable[InstanceRecord]) -> None:
         """Takes the instances of the platform's list.
@@ -144,6 +143,8 @@
         because a replacement may reuse the id.
         """
         self._candidates = {record.id: record for record in live if record.id != self._own.id}
+        for record in self._candidates.values():
+            self._note_data_centre(record.data_centre)
         marks = {record.id: record.address for record in leaving}
         if marks != self._marks:
             self._marks = marks
@@ -261,6 +262,7 @@
         if known is not None:
             self._toggle(known)
         self._members[member_id] = delta
+        self._note_data_centre(delta.record.data_centre)
         self._toggle(delta)
         self._since.pop(member_id, None)
         if delta.state in (MemberState.SUSPECT, MemberState.DEAD):
@@ -271,6 +273,10 @@
         if delta.state is MemberState.DEAD:
             self._on_dead(delta.record)
 
+    def _note_data_centre(self, name: str) -> None:
+        if name != self._own.data_centre:
+            self._data_centres.add(name)
+
     def _toggle(self, delta: MemberDelta) -> None:
         name = delta.record.data_centre
         self._digests[name] = self._digests.get(name, 0) ^ _fingerprint(delta)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -11,6 +11,8 @@
 
 from tests.membership_fleet import Fleet
 from wigeonpoint.platform import Listing, ListingKind, ListingState
+from wigeonpoint.process._swim_messages import ListVersion, PingMessage, Versions
+from wigeonpoint.version import MemberDelta, MemberState
 
 CHUR = ["chur-1", "chur-2", "chur-3", "chur-4"]
 SARGANS = ["sargans-1", "sargans-2", "sargans-3"]
@@ -46,16 +48,15 @@
         await asyncio.sleep(20)
         assert fleet.agreed(*rest)
 
-    async def test_one_cut_pair_does_not_kill(self, fleet: Fleet) -> None:
-        """Guards against one lossy link that takes a live instance out: others are asked."""
+    async def test_one_cut_pair_raises_no_suspicion(self, fleet: Fleet) -> None:
+        """Guards against one lossy link that makes a live instance suspect: others are asked."""
         await _settle(fleet)
-        fleet.network.data_centres["chur-1"] = "lab"
-        fleet.network.cut("lab", "sargans")
-        seen = set()
-        for _ in range(200):
-            seen |= {r.id for r in fleet.cores["chur-2"].topology.instances} ^ {*CHUR, *SARGANS}
-            await asyncio.sleep(0.1)
-        assert seen == set()
+        before = {name: core.membership.refutations for name, core in fleet.cores.items()}
+        fleet.network.data_centres.update({"chur-1": "rack-1", "chur-2": "rack-2"})
+        fleet.network.cut("rack-1", "rack-2")
+        await asyncio.sleep(20)
+        after = {name: core.membership.refutations for name, core in fleet.cores.items()}
+        assert (after, fleet.agreed(*CHUR, *SARGANS)) == (before, True)
 
     async def test_paused_instance_refutes_after_its_death(self, fleet: Fleet) -> None:
         """Guards against an instance that stays dead after a pause longer than suspicion."""
@@ -107,6 +108,19 @@
             assert set(CHUR) <= fleet.views()["chur-1"]
             await asyncio.sleep(0.1)
 
+    async def test_own_data_centre_decides_on_its_members(self, fleet: Fleet) -> None:
+        """Guards against a claim of the other side that takes a live neighbour out."""
+        await _settle(fleet)
+        receiver, target = fleet.cores["chur-1"], fleet.cores["chur-2"]
+        versions = Versions(0, ListVersion(), 0)
+        claim = MemberDelta(target.record, MemberState.DEAD, target.membership.own.incarnation)
+        sender = fleet.cores["sargans-1"].membership.own
+        before = target.membership.refutations
+        await receiver.swim.answer_ping(PingMessage(sender, versions, [claim]))
+        assert "chur-2" in fleet.views()["chur-1"]
+        await asyncio.sleep(2)
+        assert target.membership.refutations == before + 1
+
 
 class TestList:
     """The platform's list, which lags and fails."""
@@ -124,8 +138,9 @@
         fleet.network.data_centres["ghost"] = "chur"
         fleet.network.down.add("ghost")
         fleet.directory.replace(Listing("ghost", ListingKind.ENTRY, "ghost", "chur"))
-        await asyncio.sleep(10)
-        assert fleet.agreed(*CHUR, *SARGANS)
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            assert fleet.agreed(*CHUR, *SARGANS)
 
     async def test_leaving_mark_takes_work_away(self, fleet: Fleet) -> None:
         """Guards against an instance that gets work after the list says that it is leaving."""
