--- a/src/wigeonpoint/version/_group.py
+++ b/src/wigeonpoint/version/_group.py
@@ -29,7 +29,6 @@
         self._primary_id: str | None = None
         self._term = 0
         self._positions: dict[str, LogPosition] = {}
-        self._reported_leaving: set[str] = set()
         self._confirmer: GroupConfirmer | None = None
         self._discovery: asyncio.Task[None] | None = None
 
@@ -68,7 +67,7 @@
     def set_servers(self, servers: list[BackendServer]) -> None:
         """Replaces the members; confirmations restart only when membership itself changes."""
         before = {(server.id, server.address) for server in self._servers.values()}
-        self._servers = {server.id: self._with_report(server) for server in servers}
+        self._servers = {server.id: server for server in servers}
         if before != {(server.id, server.address) for server in servers} and self._confirmer:
             self._confirmer.close()
             self._confirmer = None
@@ -113,11 +112,13 @@
             self._primary_id = None
 
     def note_leaving(self, server_id: str) -> None:
-        """Records that a member reports that it is leaving, which the list may not say yet."""
-        self._reported_leaving.add(server_id)
+        """Records that a member reports that it is leaving, which the list may not say yet.
+
+        The record lasts until the list changes, and the member's next report renews it.
+        """
         server = self._servers.get(server_id)
-        if server is not None:
-            self._servers[server_id] = self._with_report(server)
+        if server is not None and not server.leaving:
+            self._servers[server_id] = replace(server, leaving=True)
 
     def forget_primary(self, server_id: str) -> None:
         """Forgets the primary after it refused to act as one."""
@@ -145,11 +146,6 @@
         if self._discovery is not None:
             self._discovery.cancel()
 
-    def _with_report(self, server: BackendServer) -> BackendServer:
-        if server.id in self._reported_leaving and not server.leaving:
-            return replace(server, leaving=True)
-        return server
-
     async def _discover(self) -> None:
         # Callers that wait for the same primary share one discovery.
         if self._discovery is None or self._discovery.done():
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -61,6 +61,15 @@
     )
 
 
+async def _begin(fleet: Fleet, limit: float) -> tuple[str, Answer, float]:
+    deadline = asyncio.get_running_loop().time() + limit
+    transactions = fleet.cores["chur-1"].transactions
+    number, answer = await transactions.begin(
+        "r", rank=Rank.STANDARD, caller="c", deadline=deadline, session=None
+    )
+    return number, answer, deadline
+
+
 def _owner(fleet: Fleet, server_id: str = "g-0") -> str:
     core = next(iter(fleet.cores.values()))
     server = core.topology.group("g").server(server_id)
@@ -114,11 +123,7 @@
         """Guards against a transaction that is cut off when ownership moves."""
         await _settle(fleet)
         former, core = _owner(fleet), fleet.cores["chur-1"]
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + 30
-        number, begun = await core.transactions.begin(
-            "r", rank=Rank.STANDARD, caller="c", deadline=deadline, session=None
-        )
+        number, begun, deadline = await _begin(fleet, 30)
         await fleet.cores[former].swim.announce_leaving()
         await asyncio.sleep(4)
         put = Statement("PUT t 1", [])
@@ -133,6 +138,16 @@
         assert fleet.cores[former].owners.owned_servers == []
         assert fleet.network.members["g-0"].connections == 0
 
+    async def test_begin_waits_for_the_views_to_agree(self, fleet: Fleet) -> None:
+        """Guards against a begin that is refused because its entry still has the former owner."""
+        await _settle(fleet)
+        owner, topology = _owner(fleet), fleet.cores["chur-1"].topology
+        known = topology.instances
+        topology.set_instances([record for record in known if record.id != owner])
+        asyncio.get_running_loop().call_later(0.5, topology.set_instances, known)
+        await _begin(fleet, 5)
+        assert fleet.cores[owner].owners.open_transactions == 1
+
 
 class TestLeavingServer:
     """Backend servers that leave."""
@@ -165,10 +180,7 @@
         """Guards against closing while the balancer still sends or work is in progress."""
         await _settle(fleet)
         core, loop = fleet.cores["chur-1"], asyncio.get_running_loop()
-        started = loop.time()
-        number, begun = await core.transactions.begin(
-            "r", rank=Rank.STANDARD, caller="c", deadline=started + 30, session=None
-        )
+        number, begun, _ = await _begin(fleet, 30)
         holder = fleet.cores[_owner(fleet)]
         draining = asyncio.create_task(holder.finish_work())
         for _ in range(5):
