Build the type adapter of a peer reply once

Cause: dict.setdefault evaluated TypeAdapter(...) on every peer request, also when the adapter was known; building one for ExecuteReply took 1.05 ms of processor time. Change: build it only when it is missing, in PeerChannels and in tools/measure_membership.

--- a/src/wigeonpoint/connection/_peers.py
+++ b/src/wigeonpoint/connection/_peers.py
@@ -149,4 +149,8 @@
             self._opening.pop(address, None)
 
     def _adapter(self, reply_type: type[Any]) -> TypeAdapter[Any]:
-        return self._adapters.setdefault(reply_type, TypeAdapter(reply_type))
+        adapter = self._adapters.get(reply_type)
+        if adapter is None:
+            # Building an adapter costs a millisecond or more, so not as an argument of setdefault.
+            adapter = self._adapters[reply_type] = TypeAdapter(reply_type)
+        return adapter
--- a/tools/measure_membership.py
+++ b/tools/measure_membership.py
@@ -77,7 +77,9 @@
             self._wire.encode({"id": received["id"], "error": {"code": int(error.code)}})
             raise
         reply = orjson.loads(self._wire.encode({"id": received["id"], "body": body}))
-        adapter = self._adapters.setdefault(reply_type, TypeAdapter(reply_type))
+        adapter = self._adapters.get(reply_type)
+        if adapter is None:
+            adapter = self._adapters[reply_type] = TypeAdapter(reply_type)
         decoded: ReplyT = adapter.validate_python(reply["body"])
         return decoded
 
