--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -13,6 +13,7 @@
 )
 from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
 from wigeonpoint.version._group import GroupView
+from wigeonpoint.version._membership import MemberDelta, Membership, MemberState
 from wigeonpoint.version._servers import (
     BackendServer,
     InstanceRecord,
@@ -29,6 +30,9 @@
     "GroupConfirmer",
     "GroupView",
     "InstanceRecord",
+    "MemberDelta",
+    "MemberState",
+    "Membership",
     "Pool",
     "RankTarget",
     "Route",
--- a/src/wigeonpoint/version/_group.py
+++ b/src/wigeonpoint/version/_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
 from wigeonpoint.errors import NotRun, ResultCode
@@ -103,11 +104,22 @@
     def note_status(self, server_id: str, status: MemberStatus) -> None:
         """Records a member's status."""
         self.note_position(server_id, status.at)
+        if status.leaving:
+            self.note_leaving(server_id)
         if status.role is MemberRole.PRIMARY:
             self.note_primary(server_id, status.fenced_term)
         elif server_id == self._primary_id and status.fenced_term >= self._term:
             self._primary_id = None
 
+    def note_leaving(self, server_id: str) -> None:
+        """Records that a member reports that it is leaving, which the list may not say yet.
+
+        The record lasts until the list changes, and the member's next report renews it.
+        """
+        server = self._servers.get(server_id)
+        if server is not None and not server.leaving:
+            self._servers[server_id] = replace(server, leaving=True)
+
     def forget_primary(self, server_id: str) -> None:
         """Forgets the primary after it refused to act as one."""
         if self._primary_id == server_id:
