Accept numbered configuration states and serve administration

The configuration feed numbered the tables by the sum of their row versions, which does not order states and cannot refuse a wrong row. States are now accepted through a conditional update of configuration/head, spread between instances by number, and edited through /admin/v1/ and the command line.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -21,6 +21,16 @@
     INSTANCE_STOPPED = (102, logging.INFO, "instance stopped")
     INTERNAL_ERROR = (103, logging.ERROR, "unexpected error")
 
+    CONFIGURATION_APPLIED = (200, logging.INFO, "configuration state in force")
+    CONFIGURATION_ACCEPTED = (201, logging.INFO, "rows edited in the tables accepted")
+    CONFIGURATION_REFUSED = (202, logging.WARNING, "rows edited in the tables refused")
+    CONFIGURATION_CORRECTED = (203, logging.INFO, "refused rows corrected or withdrawn")
+    CONFIGURATION_COPY_DAMAGED = (204, logging.WARNING, "configuration copy is damaged")
+    EDIT_ACCEPTED = (205, logging.INFO, "edit accepted")
+    EDIT_REFUSED = (206, logging.INFO, "edit refused")
+    TABLES_UNREACHABLE = (207, logging.WARNING, "table service unreachable")
+    TABLES_REACHABLE = (208, logging.INFO, "table service reachable again")
+
     def __init__(self, number: int, level: int, sentence: str) -> None:
         self.number = number
         self.level = level
--- a/src/wigeonpoint/cli/_main.py
+++ b/src/wigeonpoint/cli/_main.py
@@ -5,8 +5,11 @@
 import click
 
 from wigeonpoint import __version__
+from wigeonpoint.cli._check import check
+from wigeonpoint.cli._rows import row_commands
 from wigeonpoint.cli._serve import serve
 from wigeonpoint.cli._standin import standin
+from wigeonpoint.cli._status import status
 
 
 @click.group()
@@ -15,5 +18,9 @@
     """A database proxy with session consistency and urgent-first service."""
 
 
+main.add_command(check)
+main.add_command(row_commands("route", "routes", "pool"))
+main.add_command(row_commands("pool", "pools", "group"))
 main.add_command(serve)
+main.add_command(status)
 main.add_command(standin)
--- a/src/wigeonpoint/connection/__init__.py
+++ b/src/wigeonpoint/connection/__init__.py
@@ -3,6 +3,14 @@
 from __future__ import annotations
 
 from wigeonpoint.connection._backend_pool import BackendPool
+from wigeonpoint.connection._configuration_messages import (
+    AnnounceConfigurationMessage,
+    ConfigurationNumberReply,
+    FetchConfigurationMessage,
+    FetchConfigurationReply,
+    StatusMessage,
+    StatusReply,
+)
 from wigeonpoint.connection._messages import (
     Acknowledgement,
     BeginMessage,
@@ -28,12 +36,16 @@
 __all__ = [
     "PEER_KEY_HEADER",
     "Acknowledgement",
+    "AnnounceConfigurationMessage",
     "BackendPool",
     "BeginMessage",
     "BeginReply",
     "CommitMessage",
+    "ConfigurationNumberReply",
     "ExecuteMessage",
     "ExecuteReply",
+    "FetchConfigurationMessage",
+    "FetchConfigurationReply",
     "OpenTransaction",
     "PeerChannels",
     "PeerDispatcher",
@@ -42,6 +54,8 @@
     "Session",
     "SessionTokens",
     "StatementMessage",
+    "StatusMessage",
+    "StatusReply",
     "TokenSigner",
     "TransactionId",
     "TransactionIds",
--- a/src/wigeonpoint/process/_caller_api.py
+++ b/src/wigeonpoint/process/_caller_api.py
@@ -40,6 +40,7 @@
     ResultCode.UNKNOWN_TRANSACTION: 404,
     ResultCode.METHOD_NOT_ALLOWED: 405,
     ResultCode.BODY_TOO_LARGE: 413,
+    ResultCode.UNKNOWN_ROW: 404,
     ResultCode.INTERNAL: 500,
 }
 
@@ -56,7 +57,7 @@
             self.set_header("Retry-After", str(math.ceil(answer.retry_after_ms / 1000)))
         self.finish(orjson.dumps({**_fields(answer), **extra}))
 
-    def answer_error(self, error: WigeonpointError) -> None:
+    def answer_error(self, error: WigeonpointError, **extra: Any) -> None:
         """Sends a numbered error."""
         self.answer(
             Answer(
@@ -64,7 +65,8 @@
                 outcome=error.outcome,
                 message=error.message,
                 retry_after_ms=error.retry_after_ms,
-            )
+            ),
+            **extra,
         )
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -48,7 +48,9 @@
         self.dispatcher = dispatcher
         self.transport = transport
         self.topology = Topology(record, backend)
-        self.feed = ConfigurationFeed(platform)
+        self.feed = ConfigurationFeed(
+            platform, self.topology, transport, dispatcher, peers=settings.peers
+        )
         self.directory_feed = DirectoryFeed(platform.directory, self.topology)
         self.owners = OwnerService(self.topology, backend, self._pool_row)
         self.owners.register(dispatcher)
--- a/src/wigeonpoint/process/_instance.py
+++ b/src/wigeonpoint/process/_instance.py
@@ -15,6 +15,7 @@
 from wigeonpoint.connection import PEER_KEY_HEADER, PeerChannels, PeerDispatcher
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.platform import Platform
+from wigeonpoint.process._admin_api import admin_handlers
 from wigeonpoint.process._caller_api import (
     BeginHandler,
     StatementHandler,
@@ -85,6 +86,7 @@
             (r"/v1/transactions", BeginHandler, options),
             (r"/v1/transactions/([^/]+)/statements", TransactionStatementHandler, options),
             (r"/v1/transactions/([^/]+)/(commit|rollback)", TransactionEndHandler, options),
+            *admin_handlers(core),
             (r"/peer", _PeerHandler, options),
             (r"/live", _HealthHandler, {"check": lambda: True}),
             (r"/ready", _HealthHandler, {"check": lambda: core.ready}),
--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -9,26 +9,64 @@
     RankTarget,
     Route,
 )
+from wigeonpoint.version._configuration_store import (
+    ConfigurationStore,
+    EditRecord,
+    Head,
+)
 from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
+from wigeonpoint.version._edits import Edit, EditConflict, Editor, EditResult, RowChange
 from wigeonpoint.version._group import GroupView
+from wigeonpoint.version._rows import POOLS, ROUTES, RowProblem, RowValue, RowValues
 from wigeonpoint.version._servers import (
     BackendServer,
     InstanceRecord,
     owner_of,
     rendezvous_weight,
 )
+from wigeonpoint.version._state import (
+    ConfigurationState,
+    StateChange,
+    build_state,
+    refuse,
+    rows_digest,
+    state_from_document,
+    state_problems,
+)
+from wigeonpoint.version._table_acceptance import TableAcceptance
 
 __all__ = [
+    "POOLS",
+    "ROUTES",
     "BackendServer",
     "Configuration",
+    "ConfigurationState",
+    "ConfigurationStore",
     "Durability",
+    "Edit",
+    "EditConflict",
+    "EditRecord",
+    "EditResult",
+    "Editor",
     "GroupConfirmer",
     "GroupView",
+    "Head",
     "InstanceRecord",
     "Pool",
     "RankTarget",
     "Route",
+    "RowChange",
+    "RowProblem",
+    "RowValue",
+    "RowValues",
+    "StateChange",
+    "TableAcceptance",
+    "build_state",
     "member_statuses",
     "owner_of",
+    "refuse",
     "rendezvous_weight",
+    "rows_digest",
+    "state_from_document",
+    "state_problems",
 ]
