--- a/src/wigeonpoint/cli/_rows.py
+++ b/src/wigeonpoint/cli/_rows.py
@@ -112,7 +112,9 @@
         client = AdminClient(address, token)
         path = client.row_path(table, row_name)
         if expected_version is None:
-            expected_version = client.call("GET", path)["row"]["version"]
+            current = _current(client, path)
+            # A version above 0 makes the instance answer that there is no such row.
+            expected_version = 1 if current is None else current["version"]
         body = {"edit_id": edit_id or str(uuid.uuid4()), "expected_version": expected_version}
         _report(client.call("DELETE", path, body), as_json)
 
@@ -126,6 +128,10 @@
         if error.number == ResultCode.UNKNOWN_ROW:
             return None
         raise
+    if row["version"] is None:
+        code = ResultCode.STORE_UNAVAILABLE
+        message = "the table service does not answer; edits are possible once it does"
+        raise NumberedError(int(code), code.label, message)
     return row
 
 
--- a/src/wigeonpoint/version/_edits.py
+++ b/src/wigeonpoint/version/_edits.py
@@ -153,9 +153,15 @@
         base = await self._store.state(head, self._state())
         if base is None:
             raise ConditionFailed("the document of the head was pruned while it was read")
-        for change in edit.changes:
-            await self._check_version(change)
-        state = self._next_state(base, edit)
+        try:
+            for change in edit.changes:
+                await self._check_version(change)
+            state = self._next_state(base, edit)
+        except ConfigurationRefused:
+            # An earlier attempt without an answer may have taken effect after the head was read.
+            if (await self._store.head()).version != head.version:
+                raise ConditionFailed("the head changed while the edit was checked") from None
+            raise
         await self._commit(head, state, edit)
         return EditResult(state.number, False, state)
 
--- /dev/null
+++ b/tests/test_configuration_edits.py
@@ -0,0 +1,230 @@
+"""Validation of rows, and edits through the conditional head."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from tests.configuration_fakes import POOL, ROUTE, FaultyTables, Fleet
+from wigeonpoint.errors import ConfigurationRefused, ResultCode, StoreUnavailable
+from wigeonpoint.platform import Delete, Platform, TableTransaction
+from wigeonpoint.request import Rank
+from wigeonpoint.standins import MemoryDirectory, MemoryObjects
+from wigeonpoint.version import (
+    ConfigurationState,
+    ConfigurationStore,
+    Edit,
+    EditConflict,
+    Editor,
+    RowChange,
+    TableAcceptance,
+    build_state,
+    state_problems,
+)
+
+pytestmark = pytest.mark.looptime
+
+
+def put(edit_id: str, table: str, key: str, version: int, value: dict[str, Any] | None) -> Edit:
+    return Edit(edit_id, [RowChange(table, key, version, value)])
+
+
+def editor(tables: FaultyTables) -> Editor:
+    store = ConfigurationStore(Platform(tables, MemoryObjects(), MemoryDirectory()))
+    return Editor(store, ConfigurationState)
+
+
+async def prepared() -> tuple[FaultyTables, Editor]:
+    """Tables with pool `plans` and route `closures`, accepted as states 1 and 2."""
+    tables = FaultyTables()
+    one = editor(tables)
+    await one.apply(put("e-1", "pools", "plans", 0, POOL))
+    await one.apply(put("e-2", "routes", "closures", 0, ROUTE))
+    return tables, one
+
+
+class TestRows:
+    """Rows at the border."""
+
+    def test_names_alone_make_a_complete_row(self) -> None:
+        """Guards against a field without a default."""
+        state = build_state(1, {"closures": ROUTE}, {"plans": POOL})
+        route, pool = state.configuration.resolve("closures")
+        assert (route.rank, pool.shares[Rank.BULK]) == (Rank.STANDARD, 0.05)
+
+    def test_stated_fields_keep_the_defaults_of_the_others(self) -> None:
+        """Guards against a partial target or share that removes the other defaults."""
+        routes = {"r": {"pool": "p", "targets": {"urgent": {"target_ms": 50, "worth": 7}}}}
+        state = build_state(1, routes, {"p": {"group": "g", "shares": {"bulk": 0.2}}})
+        route, pool = state.configuration.resolve("r")
+        assert (route.targets[Rank.URGENT].target_ms, route.targets[Rank.BULK].worth) == (50, 1.0)
+        assert (pool.shares[Rank.BULK], pool.shares[Rank.STANDARD]) == (0.2, 0.10)
+
+    @pytest.mark.parametrize(
+        ("routes", "pools", "code", "name"),
+        [
+            ({"r": {"pool": "p", "color": 1}}, {"p": POOL}, 402, "routes/r: color"),
+            ({"r": {}}, {}, 402, "routes/r: pool"),
+            ({"r": {"pool": "p", "rank": "vip"}}, {"p": POOL}, 402, "routes/r: rank"),
+            ({}, {"p": {"group": "g", "slots": 0}}, 402, "pools/p: slots"),
+            ({}, {"p": {"group": "g", "shares": {"bulk": 0.95}}}, 402, "pools/p: shares"),
+            ({}, {"a/b": POOL}, 402, "pools/a/b: the name"),
+            ({"r": {"pool": "x"}}, {"p": POOL}, 401, "routes/r: there is no pool 'x'"),
+            ({"r": {"pool": "x"}, "s": {}}, {}, 406, "routes/s"),
+        ],
+    )
+    def test_wrong_row_gets_its_number(self, routes: Any, pools: Any, code: int, name: str) -> None:
+        """Guards against a refusal that does not say which row and which name."""
+        with pytest.raises(ConfigurationRefused) as refusal:
+            build_state(1, routes, pools)
+        assert refusal.value.code == code
+        assert name in refusal.value.message
+
+    def test_new_name_of_an_unlisted_group_is_refused(self) -> None:
+        """Guards against a misspelt group; accepted rows stay valid when a list lacks theirs."""
+        known = build_state(1, {}, {"p": {"group": "gone"}})
+        pools = {"p": {"group": "gone"}, "q": {"group": "typo"}}
+        problems = state_problems({}, pools, known=known, groups=["signplan-0"])
+        assert [(problem.code, problem.key) for problem in problems] == [(403, "q")]
+
+
+class TestEdits:
+    """Edits with lost answers and by several operators."""
+
+    async def test_lost_answer_is_recognised(self) -> None:
+        """Guards against an edit that is applied again because its first answer was lost."""
+        tables, one = await prepared()
+        tables.lost_answers = 1
+        result = await one.apply(put("e-3", "pools", "rota", 0, POOL))
+        assert (result.number, result.repeated, len(tables.commits)) == (3, True, 3)
+
+    @pytest.mark.parametrize("value", [{"group": "other"}, None])
+    async def test_retry_after_other_edits_is_recognised(self, value: Any) -> None:
+        """Guards against a retry that undoes the edits that came in between."""
+        tables, one = await prepared()
+        await one.apply(put("e-3", "pools", "rota", 0, POOL))
+        change = put("e-4", "pools", "rota", 1, value)
+        tables.lost_answers, tables.outage_after_loss = 1, True
+        with pytest.raises(StoreUnavailable):
+            await one.apply(change)
+        tables.unavailable = False
+        version = 0 if value is None else 2
+        await editor(tables).apply(put("e-5", "pools", "rota", version, {"group": "third"}))
+        result = await one.apply(change)
+        assert (result.number, result.repeated) == (4, True)
+        row = await tables.read("pools", "rota")
+        assert row is not None and row.value == {"group": "third"}
+
+    async def test_reused_edit_id_is_refused(self) -> None:
+        """Guards against a different edit that is taken for a retry and lost."""
+        _, one = await prepared()
+        with pytest.raises(ConfigurationRefused) as refusal:
+            await one.apply(put("e-1", "pools", "rota", 0, POOL))
+        assert refusal.value.code == ResultCode.EDIT_ID_REUSED
+
+    async def test_same_row_gives_one_operator_a_conflict(self) -> None:
+        """Guards against a lost update, and a conflict that hides the current row."""
+        tables, one = await prepared()
+        values = [{"group": "a"}, {"group": "b"}]
+        results = await asyncio.gather(
+            *(
+                operator.apply(put(f"x-{index}", "pools", "plans", 1, value))
+                for index, (operator, value) in enumerate(
+                    zip((one, editor(tables)), values, strict=True)
+                )
+            ),
+            return_exceptions=True,
+        )
+        conflicts = [result for result in results if isinstance(result, EditConflict)]
+        row = await tables.read("pools", "plans")
+        assert len(conflicts) == 1
+        assert conflicts[0].code == ResultCode.EDIT_CONFLICT
+        assert conflicts[0].current == row
+        assert len(tables.commits) == 3
+
+    async def test_different_rows_both_succeed(self) -> None:
+        """Guards against an edit that fails only because another one came first."""
+        tables, one = await prepared()
+        operators = [one, *(editor(tables) for _ in range(4))]
+        results = await asyncio.gather(
+            *(
+                operator.apply(put(f"x-{index}", "pools", f"p-{index}", 0, POOL))
+                for index, operator in enumerate(operators)
+            )
+        )
+        assert sorted(result.number for result in results) == [3, 4, 5, 6, 7]
+
+    async def test_rename_of_a_pool_against_a_route(self) -> None:
+        """Guards against a route without its pool, also when both are edited at once."""
+        tables, one = await prepared()
+        rename = [RowChange("pools", "plans", 1, None), RowChange("pools", "sketches", 0, POOL)]
+        with pytest.raises(ConfigurationRefused) as refusal:
+            await one.apply(Edit("x-1", rename))
+        assert refusal.value.code == ResultCode.POOL_IN_USE
+        assert "pools/plans" in refusal.value.message and "closures" in refusal.value.message
+        whole = [*rename, RowChange("routes", "closures", 1, {"pool": "sketches"})]
+        results = await asyncio.gather(
+            one.apply(Edit("x-2", whole)),
+            editor(tables).apply(put("x-3", "routes", "viewers", 0, ROUTE)),
+            return_exceptions=True,
+        )
+        assert sum(isinstance(result, ConfigurationRefused) for result in results) == 1
+        _, document, _ = tables.commits[-1]
+        build_state(9, document["routes"], document["pools"])
+
+    async def test_old_documents_are_pruned(self) -> None:
+        """Guards against documents that accumulate for ever."""
+        tables = FaultyTables()
+        one = editor(tables)
+        for index in range(25):
+            await one.apply(put(f"e-{index}", "pools", "plans", index, {"group": f"g-{index}"}))
+        kept = sorted(int(row.key) for row in await tables.scan("configurations"))
+        assert kept == list(range(6, 26))
+
+
+class TestDirectEdits:
+    """Rows that operators write straight into the tables."""
+
+    async def test_first_start_accepts_the_rows_as_state_one(self) -> None:
+        """Guards against a fresh deployment whose tables never come into force."""
+        async with Fleet({"chur": 3, "sargans": 3}) as fleet:
+            await fleet.tables.put("pools", plans=POOL)
+            await fleet.tables.put("routes", closures=ROUTE)
+            await asyncio.sleep(5)
+            assert fleet.numbers == {1}
+            assert len(fleet.tables.commits) == 1
+
+    async def test_invalid_row_is_refused_then_corrected(self) -> None:
+        """Guards against a wrong row that comes into force or blocks later edits for ever."""
+        async with Fleet({"chur": 3}) as fleet:
+            await fleet.tables.put("pools", plans=POOL)
+            await fleet.tables.put("routes", closures=ROUTE)
+            await asyncio.sleep(5)
+            await fleet.tables.put("routes", viewers={"pool": "plan"})
+            await asyncio.sleep(5)
+            problems = [one for feed in fleet.feeds.values() for one in feed.status.problems]
+            assert {(one.code, one.key) for one in problems} == {(401, "viewers")}
+            assert fleet.numbers == {1}
+            edit = put("e-1", "pools", "rota", 0, POOL)
+            assert (await fleet.feeds["chur-0"].edit(edit)).number == 2
+            await fleet.tables.put("routes", viewers=ROUTE)
+            await asyncio.sleep(5)
+            assert fleet.numbers == {3}
+            assert not any(feed.status.problems for feed in fleet.feeds.values())
+
+    async def test_rows_changed_after_the_scan_are_not_mixed(self) -> None:
+        """Guards against a state with rows from before and after a change of both tables."""
+        tables, _ = await prepared()
+        store = ConfigurationStore(Platform(tables, MemoryObjects(), MemoryDirectory()))
+        acceptance = TableAcceptance(store, ConfigurationState)
+        await tables.put("routes", viewers=ROUTE)
+        examination = asyncio.create_task(acceptance.examine())
+        await asyncio.sleep(0.0035)  # head, document and routes are read, the pools are not
+        await tables.tables.transact(TableTransaction(deletes=[Delete("routes", "viewers")]))
+        await tables.put("pools", plans={"group": "signplan-1"})
+        assert await examination is None
+        state = await acceptance.examine()
+        assert state is not None
+        assert (sorted(state.routes), state.pools["plans"]["group"]) == (["closures"], "signplan-1")
--- /dev/null
+++ b/tests/test_configuration_spread.py
@@ -0,0 +1,153 @@
+"""Spread of states between instances, and starts with stale or missing sources."""
+
+from __future__ import annotations
+
+import asyncio
+
+import orjson
+import pytest
+
+from tests.configuration_fakes import POOL, ROUTE, FaultyTables, Fleet
+from wigeonpoint.process._configuration_history import ConfigurationHistory
+from wigeonpoint.version import ConfigurationState, Edit, RowChange, build_state
+
+pytestmark = pytest.mark.looptime
+
+BOUND_S = 5.0
+
+
+def pool_edit(number: int) -> Edit:
+    return Edit(f"e-{number}", [RowChange("pools", f"p-{number}", 0, POOL)])
+
+
+async def started(counts: dict[str, int]) -> Fleet:
+    """A fleet with state 1 in force everywhere."""
+    fleet = Fleet(counts)
+    await fleet.__aenter__()
+    await fleet.tables.put("pools", plans=POOL)
+    await fleet.tables.put("routes", closures=ROUTE)
+    await asyncio.sleep(BOUND_S)
+    assert fleet.numbers == {1}
+    return fleet
+
+
+class TestSpread:
+    """Time until a state is in force everywhere."""
+
+    async def test_edit_is_in_force_at_26_instances_within_the_bound(self) -> None:
+        """Guards against spread that rests on the pollers alone: the tables are down."""
+        fleet = await started({"chur": 13, "sargans": 13})
+        await fleet.feeds["chur-0"].edit(pool_edit(2))
+        fleet.tables.unavailable = True
+        await asyncio.sleep(1.0)
+        assert fleet.numbers == {2}
+        await fleet.__aexit__()
+
+    async def test_cut_off_data_centre_catches_up_after_the_heal(self) -> None:
+        """Guards against a data centre that keeps an old state after a partition."""
+        fleet = await started({"chur": 13, "sargans": 13})
+        fleet.network.cut("chur", "sargans")
+        fleet.reach["sargans"].down = True
+        for number in (2, 3):
+            await fleet.feeds["chur-3"].edit(pool_edit(number))
+        await asyncio.sleep(20)
+        numbers = {name.split("-")[0]: feed.number for name, feed in fleet.feeds.items()}
+        assert numbers == {"chur": 3, "sargans": 1}
+        fleet.network.heal()  # the tables stay out of reach of sargans
+        await asyncio.sleep(BOUND_S)
+        assert fleet.numbers == {3}
+        await fleet.__aexit__()
+
+    async def test_noted_number_is_fetched(self) -> None:
+        """Guards against a heartbeat whose number is ignored."""
+        fleet = await started({"chur": 1, "sargans": 1})
+        fleet.network.cut("chur", "sargans")
+        fleet.reach["sargans"].down = True
+        await fleet.feeds["chur-0"].edit(pool_edit(2))
+        await asyncio.sleep(3)
+        fleet.network.heal()
+        fleet.feeds["sargans-0"].note_number(2, "chur-0")
+        await asyncio.sleep(0.01)
+        assert fleet.feeds["sargans-0"].number == 2
+        await fleet.__aexit__()
+
+    async def test_stale_offers_are_not_applied(self) -> None:
+        """Guards against an instance that goes back to an older state."""
+        fleet = await started({"chur": 2})
+        feed = fleet.feeds["chur-0"]
+        old = feed.state
+        await feed.edit(pool_edit(2))
+        feed._apply(old)
+        feed.note_number(1, "chur-1")
+        await asyncio.sleep(1)
+        assert fleet.numbers == {2}
+        await fleet.__aexit__()
+
+    def test_change_since_a_number_leads_to_the_state(self) -> None:
+        """Guards against merged changes that miss a row, and a gap that is bridged silently."""
+        history, states = ConfigurationHistory(), [ConfigurationState()]
+        for number in range(1, 5):
+            pools = {f"p-{index}": POOL for index in range(number)} if number < 4 else {}
+            states.append(build_state(number, {}, pools))
+        for earlier, later in ((0, 1), (1, 2), (2, 4)):
+            history.add(states[later].change_since(states[earlier]))
+        for since, base in ((1, 1), (2, 2), (3, 0), (0, 0)):
+            change = history.change_to(states[4], since)
+            assert change.base == base
+            assert states[since].apply(change).digest == states[4].digest
+
+
+class TestStart:
+    """State that a starting instance takes."""
+
+    async def test_start_during_an_outage_takes_the_state_of_a_peer(self) -> None:
+        """Guards against a start that waits for the platform or takes a stale snapshot."""
+        fleet = await started({"chur": 2, "sargans": 2})
+        stale = dict(fleet.feeds["chur-0"].state.document)
+        await fleet.feeds["chur-0"].edit(pool_edit(2))
+        await asyncio.sleep(1)
+        for name in await fleet.objects.names(""):
+            await fleet.objects.put(name, orjson.dumps(stale))
+        fleet.tables.unavailable = True
+        fleet.directory.listings = []
+        seen = []
+        feed = fleet.add("chur-9", "chur", peers=["sargans-1"])
+        for _ in range(200):
+            seen.append(feed.number)
+            await asyncio.sleep(0.01)
+        assert set(seen) == {0, 2}
+        await fleet.__aexit__()
+
+    async def test_start_waits_for_all_sources_before_a_stale_peer_counts(self) -> None:
+        """Guards against a start that serves the state of the first peer that calls."""
+        fleet = await started({"chur": 1, "sargans": 1})
+        fleet.network.cut("chur", "sargans")
+        fleet.reach["sargans"].down = True
+        await fleet.feeds["chur-0"].edit(pool_edit(2))
+        await asyncio.sleep(1)
+        fleet.objects._objects.clear()
+        fleet.network.data_centres["flums-0"] = "flums"
+        fleet.reach["flums"] = fleet.reach["sargans"]
+        feed = fleet.add("flums-0", "flums", peers=["chur-0", "sargans-0"])
+        feed.note_number(1, "sargans-0")
+        seen = []
+        for _ in range(200):
+            seen.append(feed.number)
+            await asyncio.sleep(0.01)
+        assert set(seen) <= {0, 2} and feed.number == 2
+        await fleet.__aexit__()
+
+    async def test_snapshot_serves_when_nothing_else_responds(self) -> None:
+        """Guards against a damaged snapshot that is taken, and an intact one that is not."""
+        fleet = await started({"chur": 1})
+        await fleet.feeds["chur-0"].edit(pool_edit(2))
+        await asyncio.sleep(1)
+        damaged = {**fleet.feeds["chur-0"].state.document, "number": 9, "pools": {}}
+        await fleet.objects.put("configuration-snapshot-3", orjson.dumps(damaged))
+        await fleet.__aexit__()
+        alone = Fleet({"sargans": 1}, FaultyTables(unavailable=True))
+        alone.objects = fleet.objects
+        await alone.__aenter__()
+        await asyncio.sleep(BOUND_S)
+        assert alone.numbers == {2}
+        await alone.__aexit__()
--- /dev/null
+++ b/tools/measure_configuration.py
@@ -0,0 +1,126 @@
+"""Measures sizes and processor time of configuration states of several sizes; prints JSON.
+
+Run from the root: `PYTHONPATH=src python -m tools.measure_configuration`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import asdict
+from typing import Any
+
+import orjson
+
+from wigeonpoint.errors import ConditionFailed
+from wigeonpoint.platform import Platform, TableTransaction
+from wigeonpoint.standins import MemoryDirectory, MemoryObjects, MemoryTables
+from wigeonpoint.version import (
+    ConfigurationState,
+    ConfigurationStore,
+    Edit,
+    Editor,
+    RowChange,
+    RowValues,
+    build_state,
+    rows_digest,
+    state_from_document,
+)
+
+SIZES = (725, 1450, 2900)  # pools, with as many routes
+REPEATS = 7
+
+
+class CountingTables(MemoryTables):
+    """Memory tables that keep the size of the last transaction."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.last_bytes = 0
+
+    async def transact(self, transaction: TableTransaction) -> None:
+        """Applies a transaction and notes its size in bytes of JSON."""
+        self.last_bytes = len(orjson.dumps(asdict(transaction)))
+        await super().transact(transaction)
+
+
+def rows(count: int) -> tuple[RowValues, RowValues]:
+    """Routes and pools of one size; every fourth row states more than its names."""
+    routes: RowValues = {
+        f"route-{index:05d}": {"pool": f"pool-{index:05d}"} for index in range(count)
+    }
+    pools: RowValues = {
+        f"pool-{index:05d}": {"group": f"group-{index:05d}"} for index in range(count)
+    }
+    for index in range(0, count, 4):
+        routes[f"route-{index:05d}"].update(rank="urgent", objective=0.995)
+        pools[f"pool-{index:05d}"].update(slots=5, connections=50, shares={"bulk": 0.08})
+    return routes, pools
+
+
+def processor_ms(work: Callable[[], Any]) -> float:
+    """Median processor time of some runs, in milliseconds."""
+    samples = []
+    for _ in range(REPEATS):
+        started = time.process_time()
+        work()
+        samples.append((time.process_time() - started) * 1000)
+    return round(statistics.median(samples), 3)
+
+
+def measure(count: int) -> dict[str, float]:
+    """Measures one size."""
+    routes, pools = rows(count)
+    tracemalloc.start()
+    state = build_state(1, routes, pools)
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    document = orjson.dumps(state.document)
+    changed = {**routes, "route-00007": {"pool": "pool-00008"}}
+    later = build_state(2, changed, pools, known=state)
+    change = later.change_since(state)
+    return {
+        "pools": count,
+        "document_bytes": len(document),
+        "change_bytes": len(orjson.dumps(change)),
+        "edit_transaction_bytes": asyncio.run(edit_bytes(state)),
+        "built_state_memory_bytes": memory,
+        "digest_ms": processor_ms(lambda: rows_digest(routes, pools)),
+        "validate_whole_ms": processor_ms(lambda: build_state(1, routes, pools)),
+        "validate_change_ms": processor_ms(lambda: build_state(2, changed, pools, known=state)),
+        "apply_change_ms": processor_ms(lambda: state.apply(change)),
+        "find_change_ms": processor_ms(lambda: later.change_since(state)),
+        "load_document_ms": processor_ms(lambda: state_from_document(orjson.loads(document))),
+    }
+
+
+async def edit_bytes(state: ConfigurationState) -> int:
+    """Bytes of the transaction of an edit of one row on top of a state."""
+    tables = CountingTables()
+    store = ConfigurationStore(Platform(tables, MemoryObjects(), MemoryDirectory()))
+    try:
+        await store.commit(await store.head(), state, checks=[])
+        change = RowChange("pools", "pool-extra", 0, {"group": "group-00000"})
+        await Editor(store, lambda: state).apply(Edit("edit-1", [change]))
+    except ConditionFailed as error:
+        raise RuntimeError("the measured edit did not apply") from error
+    return tables.last_bytes
+
+
+def main() -> None:
+    """Prints the figures of each size, and the slope of each figure for one pool and route."""
+    results = [measure(count) for count in SIZES]
+    first, last = results[0], results[-1]
+    span = last["pools"] - first["pools"]
+    slopes = {
+        name: round((last[name] - first[name]) / span, 5) for name in first if name != "pools"
+    }
+    print(json.dumps({"sizes": results, "slope_for_a_pool_and_route": slopes}, indent=2))
+
+
+if __name__ == "__main__":
+    main()
