--- a/tests/test_configuration_edits.py
+++ b/tests/test_configuration_edits.py
@@ -144,6 +144,17 @@
         assert conflicts[0].current == row
         assert len(tables.commits) == 3
 
+    async def test_direct_edit_between_check_and_commit_gives_a_conflict(self) -> None:
+        """Guards against an edit that overwrites a row which an operator has just written."""
+        tables, one = await prepared()
+        edit = asyncio.create_task(one.apply(put("e-3", "pools", "plans", 1, {"group": "a"})))
+        await asyncio.sleep(0.0035)  # head, document and row are read
+        await tables.put("pools", plans={"group": "b"})
+        with pytest.raises(EditConflict):
+            await edit
+        row = await tables.read("pools", "plans")
+        assert row is not None and row.value == {"group": "b"}
+
     async def test_different_rows_both_succeed(self) -> None:
         """Guards against an edit that fails only because another one came first."""
         tables, one = await prepared()
