--- a/src/wigeonpoint/process/_configuration_feed.py
+++ b/src/wigeonpoint/process/_configuration_feed.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Coroutine, Iterable
+from contextlib import suppress
 from typing import Any
 
 from wigeonpoint.connection import (
@@ -149,9 +150,14 @@
         except ConfigurationRefused as error:
             log_event(Event.EDIT_REFUSED, edit_id=edit.edit_id, code=int(error.code))
             raise
-        if result.state is not None:
+        state = result.state
+        if state is None and result.number > self.number:
+            # The answer was lost, so that no instance has put the state in force yet.
+            with suppress(WigeonpointError):
+                state = await self._store.state(await self._store.head())
+        if state is not None:
             log_event(Event.EDIT_ACCEPTED, edit_id=edit.edit_id, state=result.number)
-            self._accept(result.state)
+            self._accept(state)
         return result
 
     def _fetch_if_offered(self) -> None:
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -43,6 +43,15 @@
         assert fleet.numbers == {2}
         await fleet.__aexit__()
 
+    async def test_edit_with_a_lost_answer_is_in_force_at_once(self) -> None:
+        """Guards against a state that is recognised as accepted and left to the pollers."""
+        fleet = await started({"chur": 3})
+        fleet.tables.lost_answers = 1
+        result = await fleet.feeds["chur-0"].edit(pool_edit(2))
+        await asyncio.sleep(0.05)
+        assert result.repeated and fleet.numbers == {2}
+        await fleet.__aexit__()
+
     async def test_cut_off_data_centre_catches_up_after_the_heal(self) -> None:
         """Guards against a data centre that keeps an old state after a partition."""
         fleet = await started({"chur": 13, "sargans": 13})
