Guard late changes, digests and the order of numbers with tests

The check of the base of a change is dropped: a change that builds on another state fails the check of the digest. The test of stale offers looked only after the next exchange had repaired the number, so it did not fail without the check of the order; it now looks at once.

--- a/src/wigeonpoint/version/_state.py
+++ b/src/wigeonpoint/version/_state.py
@@ -91,11 +91,9 @@
         """The state after a change.
 
         Raises:
-            ConfigurationRefused: TABLES_INVALID when the change does not build on this state or
-                its digest does not match.
+            ConfigurationRefused: TABLES_INVALID when the digest does not match, as for a damaged
+                copy or a change that builds on another state.
         """
-        if change.base not in (0, self.number):
-            raise _mismatch(f"a change since {change.base} does not apply to {self.number}")
         whole = change.base == 0
         routes = _merge({} if whole else self.routes, change.routes)
         pools = _merge({} if whole else self.pools, change.pools)
--- a/tests/configuration_fakes.py
+++ b/tests/configuration_fakes.py
@@ -26,6 +26,7 @@
     Attributes:
         unavailable: Every call fails before it takes effect.
         lost_answers: Number of next transactions that take effect and fail all the same.
+        land_on_read: The next transaction fails and takes effect at the next read of this table.
         outage_after_loss: A lost answer is followed by an outage.
         commits: Number, document and edit id of every accepted state.
     """
@@ -34,10 +35,15 @@
     unavailable: bool = False
     lost_answers: int = 0
     outage_after_loss: bool = False
+    land_on_read: str = ""
+    delayed: TableTransaction | None = None
     commits: list[tuple[int, dict[str, Any], str | None]] = field(default_factory=list)
 
     async def read(self, table: str, key: str) -> Row | None:
         await self._call()
+        if self.delayed is not None and table == self.land_on_read:
+            delayed, self.delayed, self.land_on_read = self.delayed, None, ""
+            await self.transact(delayed)
         return await self.tables.read(table, key)
 
     async def scan(self, table: str) -> list[Row]:
@@ -47,6 +53,9 @@
     async def transact(self, transaction: TableTransaction) -> None:
         if self.unavailable:
             raise StoreUnavailable("no answer")
+        if self.land_on_read:
+            self.delayed = transaction
+            raise StoreUnavailable("the answer was lost")
         await asyncio.sleep(0.001)
         before = await self.tables.read("configuration", "head")
         await self.tables.transact(transaction)
--- a/tests/test_configuration_edits.py
+++ b/tests/test_configuration_edits.py
@@ -100,6 +100,13 @@
         result = await one.apply(put("e-3", "pools", "rota", 0, POOL))
         assert (result.number, result.repeated, len(tables.commits)) == (3, True, 3)
 
+    async def test_change_that_lands_during_the_retry_is_recognised(self) -> None:
+        """Guards against a conflict with the operator's own edit, which arrives late."""
+        tables, one = await prepared()
+        tables.land_on_read = "pools"
+        result = await one.apply(put("e-3", "pools", "rota", 0, POOL))
+        assert (result.number, result.repeated, len(tables.commits)) == (3, True, 3)
+
     @pytest.mark.parametrize("value", [{"group": "other"}, None])
     async def test_retry_after_other_edits_is_recognised(self, value: Any) -> None:
         """Guards against a retry that undoes the edits that came in between."""
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.configuration_fakes import POOL, ROUTE, FaultyTables, Fleet
+from wigeonpoint.errors import ConfigurationRefused
 from wigeonpoint.process._configuration_history import ConfigurationHistory
 from wigeonpoint.version import ConfigurationState, Edit, RowChange, build_state
 
@@ -87,6 +88,7 @@
         old = feed.state
         await feed.edit(pool_edit(2))
         feed._apply(old)
+        assert feed.number == 2
         feed.note_number(1, "chur-1")
         await asyncio.sleep(1)
         assert fleet.numbers == {2}
@@ -96,7 +98,7 @@
         """Guards against merged changes that miss a row, and a gap that is bridged silently."""
         history, states = ConfigurationHistory(), [ConfigurationState()]
         for number in range(1, 5):
-            pools = {f"p-{index}": POOL for index in range(number)} if number < 4 else {}
+            pools = {f"p-{index}": POOL for index in range(number)} if number < 4 else {"q": POOL}
             states.append(build_state(number, {}, pools))
         for earlier, later in ((0, 1), (1, 2), (2, 4)):
             history.add(states[later].change_since(states[earlier]))
@@ -104,6 +106,8 @@
             change = history.change_to(states[4], since)
             assert change.base == base
             assert states[since].apply(change).digest == states[4].digest
+        with pytest.raises(ConfigurationRefused):
+            states[3].apply(history.change_to(states[4], 2))
 
 
 class TestStart:
@@ -151,7 +155,7 @@
         fleet = await started({"chur": 1})
         await fleet.feeds["chur-0"].edit(pool_edit(2))
         await asyncio.sleep(1)
-        damaged = {**fleet.feeds["chur-0"].state.document, "number": 9, "pools": {}}
+        damaged = {**fleet.feeds["chur-0"].state.document, "number": 9, "routes": {}}
         await fleet.objects.put("configuration-snapshot-3", orjson.dumps(damaged))
         await fleet.__aexit__()
         alone = Fleet({"sargans": 1}, FaultyTables(unavailable=True))
