--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -132,7 +132,10 @@
         await fleet.__aexit__()
 
     async def test_start_waits_for_all_sources_before_a_stale_peer_counts(self) -> None:
-        """Guards against a start that serves the state of the first peer that calls."""
+        """Guards against a start that serves the state of the first peer that calls.
+
+        The silent peer `gone-0` makes the comparison take a second.
+        """
         fleet = await started({"chur": 1, "sargans": 1})
         fleet.network.cut("chur", "sargans")
         fleet.reach["sargans"].down = True
@@ -141,7 +144,7 @@
         fleet.objects._objects.clear()
         fleet.network.data_centres["flums-0"] = "flums"
         fleet.reach["flums"] = fleet.reach["sargans"]
-        feed = fleet.add("flums-0", "flums", peers=["chur-0", "sargans-0"])
+        feed = fleet.add("flums-0", "flums", peers=["chur-0", "sargans-0", "gone-0"])
         feed.note_number(1, "sargans-0")
         seen = []
         for _ in range(200):
