--- a/tests/configuration_fakes.py
+++ b/tests/configuration_fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -15,6 +16,7 @@
 from wigeonpoint.standins import MemoryDirectory, MemoryObjects, MemoryTables
 from wigeonpoint.version import InstanceRecord, RowValue
 
+SEED = 20261204
 POOL: RowValue = {"group": "signplan-0"}
 ROUTE: RowValue = {"pool": "plans"}
 
@@ -111,6 +113,7 @@
     """Instances with a configuration feed each."""
 
     def __init__(self, counts: dict[str, int], tables: FaultyTables | None = None) -> None:
+        random.seed(SEED)
         self.network = FakeNetwork()
         self.tables = tables or FaultyTables()
         self.objects = MemoryObjects()
