--- a/src/wigeonpoint/process/_configuration_feed.py
+++ b/src/wigeonpoint/process/_configuration_feed.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Coroutine, Iterable
 from contextlib import suppress
 from typing import Any
@@ -37,7 +38,7 @@
     EditResult,
 )
 
-EXCHANGE_S = 1.0  # pause between two exchanges of numbers with a random peer
+EXCHANGE_S = 1.0  # mean pause between two exchanges of numbers with a random peer
 FETCH_TIMEOUT_S = 1.0
 SNAPSHOT_ATTEMPTS = 5
 SNAPSHOT_PAUSE_S = 2.0
@@ -195,7 +196,8 @@
 
     async def _exchange_periodically(self) -> None:
         while True:
-            await asyncio.sleep(EXCHANGE_S)
+            # Random pauses keep instances that started together from calling in step.
+            await asyncio.sleep(random.uniform(0.5, 1.5) * EXCHANGE_S)
             if self._started and self.number == 0:
                 self._apply(await self._start.highest_state())
             peer = self._peers.random_peer()
