Merge configuration tables, edits and administration

The start of an instance reads the platform's list once: an instance without any configuration read it again every second, which broke the limit of two pollers in each data centre (248 - 94 = 154 reads in 10 s against at most 84). The burn report uses the administration handlers and client.

--- a/src/wigeonpoint/process/_burn_api.py
+++ b/src/wigeonpoint/process/_burn_api.py
@@ -2,27 +2,18 @@
 
 from __future__ import annotations
 
-import orjson
+from typing import Any
 
-from wigeonpoint.errors import WigeonpointError
-from wigeonpoint.process._caller_api import JsonHandler
-from wigeonpoint.process._core import InstanceCore
+from wigeonpoint.process._admin_api import AdminHandler
 
 
-class BurnHandler(JsonHandler):
+class BurnHandler(AdminHandler):
     """`GET /admin/v1/burn`."""
 
-    def initialize(self, core: InstanceCore) -> None:
-        """Takes the parts of the instance."""
-        self.core = core
-
     async def get(self) -> None:
         """Answers with the report of all instances that can be reached."""
-        try:
-            self.bearer_name(self.core.settings.operators)
-        except WigeonpointError as error:
-            self.answer_error(error)
-            return
-        report = await self.core.burn.report(self.core.feed.configuration)
-        self.set_header("Content-Type", "application/json")
-        self.finish(orjson.dumps(report))
+
+        async def burn() -> dict[str, Any]:
+            return {"report": await self.core.burn.report(self.core.feed.configuration)}
+
+        await self.run(burn)
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -54,8 +54,10 @@
         self.dispatcher = dispatcher
         self.transport = transport
         self.topology = Topology(record, backend)
-        self.feed = ConfigurationFeed(platform)
         self.drain = Drain()
+        self.feed = ConfigurationFeed(
+            platform, self.topology, transport, dispatcher, peers=settings.peers
+        )
         self.owners = OwnerService(self.topology, backend, self._pool_row)
         self.owners.register(dispatcher)
         self.recorder = RequestRecorder()
@@ -77,7 +79,8 @@
             transport,
             seeds=settings.peers,
             hooks=VersionHooks(
-                configuration=lambda: self.feed.configuration.number,
+                configuration=lambda: self.feed.number,
+                on_newer_configuration=self.feed.note_number,
                 directory=lambda: self.directory_feed.version,
                 on_newer_directory=self.directory_feed.notice,
             ),
