Answer whether a log contains a position of an older term

A session position of an earlier term cannot be compared with a later log by its number alone. The group view keeps the beginning of each term that the log descends from; terms whose log was dropped as a whole are left out, so their positions count as abandoned.

--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -11,6 +11,7 @@
 )
 from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
 from wigeonpoint.version._group import GroupView
+from wigeonpoint.version._history import TermHistory, TermStart
 from wigeonpoint.version._servers import (
     BackendServer,
     InstanceRecord,
@@ -28,6 +29,8 @@
     "Pool",
     "RankTarget",
     "Route",
+    "TermHistory",
+    "TermStart",
     "member_statuses",
     "owner_of",
     "rendezvous_weight",
--- a/src/wigeonpoint/version/_group.py
+++ b/src/wigeonpoint/version/_group.py
@@ -7,6 +7,7 @@
 from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
+from wigeonpoint.version._history import TermHistory
 from wigeonpoint.version._servers import BackendServer
 
 DISCOVERY_TIMEOUT_S = 0.5
@@ -28,6 +29,7 @@
         self._primary_id: str | None = None
         self._term = 0
         self._positions: dict[str, LogPosition] = {}
+        self._history = TermHistory()
         self._confirmer: GroupConfirmer | None = None
         self._discovery: asyncio.Task[None] | None = None
 
@@ -108,6 +110,32 @@
         elif server_id == self._primary_id and status.fenced_term >= self._term:
             self._primary_id = None
 
+    @property
+    def history(self) -> TermHistory:
+        """Beginnings of the terms that the current log descends from, as far as is known."""
+        return self._history
+
+    def note_history(self, history: TermHistory) -> None:
+        """Records a history; one that ends in an earlier term is ignored."""
+        if history.term > self._history.term:
+            self._history = history
+
+    def contains(self, at: LogPosition, required: LogPosition) -> bool:
+        """Whether a log that ends at `at` contains the entry at `required`.
+
+        Args:
+            at: End of a member's log.
+            required: Position that a session has seen.
+        """
+        if at.term < required.term or at.position < required.position:
+            return False
+        return at.term == required.term or self._history.carried_over(required, at.term)
+
+    def is_abandoned(self, required: LogPosition) -> bool:
+        """Whether the current log is known to have dropped the entry at `required`."""
+        term = self._history.term
+        return required.term < term and not self._history.carried_over(required, term)
+
     def forget_primary(self, server_id: str) -> None:
         """Forgets the primary after it refused to act as one."""
         if self._primary_id == server_id:
--- /dev/null
+++ b/src/wigeonpoint/version/_history.py
@@ -0,0 +1,66 @@
+"""Where each term of a group's log began, and what that says about positions of older terms."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from wigeonpoint.backend import LogPosition
+
+KEPT_TERMS = 64  # older terms fall under the oldest one kept, which is stricter than their own
+
+
+@dataclass(frozen=True, slots=True)
+class TermStart:
+    """The beginning of a term.
+
+    Attributes:
+        term: The term.
+        start: Position of the last entry that its log took over from the terms before.
+    """
+
+    term: int
+    start: int
+
+
+class TermHistory:
+    """The terms that the current log descends from, oldest first.
+
+    A term whose log was dropped as a whole is left out, so positions in it are abandoned.
+
+    Args:
+        starts: Beginnings of terms in rising order.
+    """
+
+    def __init__(self, starts: Iterable[TermStart] = ()) -> None:
+        self._starts = tuple(starts)[-KEPT_TERMS:]
+
+    @property
+    def starts(self) -> tuple[TermStart, ...]:
+        """Beginnings of terms in rising order."""
+        return self._starts
+
+    @property
+    def term(self) -> int:
+        """Latest term, or 0 when nothing is known."""
+        return self._starts[-1].term if self._starts else 0
+
+    def extended(self, term: int, log_end: LogPosition) -> TermHistory:
+        """The history after the member whose log ends at `log_end` is chosen for `term`."""
+        kept = [known for known in self._starts if known.term <= log_end.term]
+        if not kept:
+            kept = [TermStart(log_end.term, 0)]
+        return TermHistory([*kept, TermStart(term, log_end.position)])
+
+    def carried_over(self, required: LogPosition, term: int) -> bool:
+        """Whether the log of `term` holds a position of an earlier term, as far as is known."""
+        if self._dropped(required.term) or self._dropped(term):
+            return False
+        later = (known for known in self._starts if required.term < known.term <= term)
+        following = next(later, None)
+        return following is None or required.position <= following.start
+
+    def _dropped(self, term: int) -> bool:
+        if not self._starts or not self._starts[0].term < term < self.term:
+            return False
+        return all(known.term != term for known in self._starts)
