Replace lost primaries through claimed and fenced terms

Instances watch the groups of which they own a member, agree on one change of primary by conditional updates of the group record, and announce the new primary. Confirmations order requests and answers by a counter, and a poller survives any error of a member's answer.

--- a/src/wigeonpoint/_channel.py
+++ b/src/wigeonpoint/_channel.py
@@ -13,7 +13,12 @@
 
 import orjson
 from tornado.httpclient import HTTPRequest
-from tornado.websocket import WebSocketClientConnection, WebSocketHandler, websocket_connect
+from tornado.websocket import (
+    WebSocketClientConnection,
+    WebSocketClosedError,
+    WebSocketHandler,
+    websocket_connect,
+)
 
 from wigeonpoint.errors import (
     NotRun,
@@ -109,6 +114,10 @@
         try:
             self._connection.write_message(frame)
             return await asyncio.wait_for(answer, timeout)
+        except WebSocketClosedError as error:  # the stream ended before the reader noticed
+            raise NotRun(
+                ResultCode.PEER_UNREACHABLE, f"channel to {self._url} is closed"
+            ) from error
         except TimeoutError as error:
             raise OutcomeUnknown(
                 ResultCode.DEADLINE_EXCEEDED, f"no answer from {self._url} to {kind} in time"
--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -21,6 +21,17 @@
     INSTANCE_STOPPED = (102, logging.INFO, "instance stopped")
     INTERNAL_ERROR = (103, logging.ERROR, "unexpected error")
 
+    PRIMARY_UNREACHABLE = (400, logging.WARNING, "primary of a group is unreachable")
+    HANDOVER_STARTED = (401, logging.INFO, "primary is leaving; handover started")
+    TERM_CLAIMED = (402, logging.INFO, "term claimed")
+    TERM_FENCED = (403, logging.INFO, "term fenced at a majority")
+    CANDIDATE_CHOSEN = (404, logging.INFO, "candidate chosen")
+    MEMBER_PROMOTED = (405, logging.INFO, "member promoted to primary")
+    PROMOTION_RESUMED = (406, logging.WARNING, "promotion without progress resumed")
+    GROUP_STABLE = (407, logging.INFO, "group is stable in a new term")
+    PROMOTION_FAILED = (408, logging.WARNING, "step of a promotion failed")
+    OPINION_DIFFERS = (409, logging.INFO, "another instance reaches the primary")
+
     def __init__(self, number: int, level: int, sentence: str) -> None:
         self.number = number
         self.level = level
--- a/src/wigeonpoint/connection/__init__.py
+++ b/src/wigeonpoint/connection/__init__.py
@@ -5,11 +5,14 @@
 from wigeonpoint.connection._backend_pool import BackendPool
 from wigeonpoint.connection._messages import (
     Acknowledgement,
+    AnnouncePrimaryMessage,
     BeginMessage,
     BeginReply,
     CommitMessage,
     ExecuteMessage,
     ExecuteReply,
+    ProbeMemberMessage,
+    ProbeMemberReply,
     RollbackMessage,
     StatementMessage,
     WorkDetails,
@@ -28,6 +31,7 @@
 __all__ = [
     "PEER_KEY_HEADER",
     "Acknowledgement",
+    "AnnouncePrimaryMessage",
     "BackendPool",
     "BeginMessage",
     "BeginReply",
@@ -38,6 +42,8 @@
     "PeerChannels",
     "PeerDispatcher",
     "PeerTransport",
+    "ProbeMemberMessage",
+    "ProbeMemberReply",
     "RollbackMessage",
     "Session",
     "SessionTokens",
--- a/src/wigeonpoint/connection/_messages.py
+++ b/src/wigeonpoint/connection/_messages.py
@@ -118,3 +118,35 @@
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
     """An answer without content."""
+
+
+@dataclass(frozen=True, slots=True)
+class AnnouncePrimaryMessage:
+    """Tells an instance of a new primary.
+
+    Attributes:
+        group: Name of the database group.
+        server_id: The new primary.
+        term: Its term.
+        history: Pairs of term and start position, oldest first.
+    """
+
+    group: str
+    server_id: str
+    term: int
+    history: list[tuple[int, int]]
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeMemberMessage:
+    """Asks an instance whether it reaches a member."""
+
+    group: str
+    server_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeMemberReply:
+    """Whether the asked instance reached the member."""
+
+    reached: bool
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -12,13 +12,21 @@
 )
 from wigeonpoint.platform import Platform
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
+from wigeonpoint.process._detection import (
+    DetectionMethod,
+    FailureDetector,
+    MemberProbeService,
+    SecondOpinionDetector,
+    SingleWatcherDetector,
+)
 from wigeonpoint.process._directory_feed import DirectoryFeed
 from wigeonpoint.process._owner_service import OwnerService
 from wigeonpoint.process._router import Router
 from wigeonpoint.process._settings import Settings
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.process._transaction_router import TransactionRouter
-from wigeonpoint.version import Configuration, InstanceRecord, Pool
+from wigeonpoint.process._watcher import PrimaryAnnouncer, Watcher
+from wigeonpoint.version import Configuration, GroupRecords, InstanceRecord, Pool
 
 
 class InstanceCore:
@@ -52,6 +60,11 @@
         self.directory_feed = DirectoryFeed(platform.directory, self.topology)
         self.owners = OwnerService(self.topology, backend, self._pool_row)
         self.owners.register(dispatcher)
+        MemberProbeService(self.topology, backend).register(dispatcher)
+        announcer = PrimaryAnnouncer(self.topology, transport)
+        announcer.register(dispatcher)
+        records = GroupRecords(platform.tables)
+        self.watcher = Watcher(self.topology, records, backend, self._detector(), announcer)
         keys = settings.session_keys
         tokens = SessionTokens(TokenSigner(keys.keys, keys.active, purpose="session"))
         ids = TransactionIds(TokenSigner(keys.keys, keys.active, purpose="transaction"))
@@ -69,15 +82,22 @@
         """Starts all tasks."""
         self.feed.start()
         self.directory_feed.start()
+        self.watcher.start()
 
     def close(self) -> None:
         """Ends all tasks and closes all connections."""
         self.feed.close()
         self.directory_feed.close()
+        self.watcher.close()
         self.owners.close()
         self.transport.close()
         self.topology.close()
 
+    def _detector(self) -> FailureDetector:
+        if self.settings.detection is DetectionMethod.SINGLE:
+            return SingleWatcherDetector()
+        return SecondOpinionDetector(self.topology, self.transport)
+
     def _configuration(self) -> Configuration:
         return self.feed.configuration
 
--- a/src/wigeonpoint/process/_settings.py
+++ b/src/wigeonpoint/process/_settings.py
@@ -7,6 +7,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
 
 from wigeonpoint.errors import ResultCode, SettingsError
+from wigeonpoint.process._detection import DetectionMethod
 
 
 class _Model(BaseModel):
@@ -96,6 +97,7 @@
         operators: Names of operators by their bearer token.
         limits: Limits of caller requests.
         drain_seconds: Longest wait of a graceful shutdown for the balancer to stop sending.
+        detection: How an unreachable primary is detected.
         log_level: Lowest level that is logged.
     """
 
@@ -108,6 +110,7 @@
     operators: dict[str, str] = Field(default_factory=dict)
     limits: LimitSettings = LimitSettings()
     drain_seconds: float = Field(default=30.0, ge=0)
+    detection: DetectionMethod = DetectionMethod.SECOND_OPINION
     log_level: str = Field(default="INFO", pattern="^(DEBUG|INFO|WARNING|ERROR)$")
 
 
--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -11,7 +11,14 @@
 )
 from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
 from wigeonpoint.version._group import GroupView
+from wigeonpoint.version._group_record import (
+    GroupPhase,
+    GroupRecord,
+    GroupRecords,
+    StoredRecord,
+)
 from wigeonpoint.version._history import TermHistory, TermStart
+from wigeonpoint.version._promotion import CandidateLost, NewPrimary, Promotion
 from wigeonpoint.version._servers import (
     BackendServer,
     InstanceRecord,
@@ -21,14 +28,21 @@
 
 __all__ = [
     "BackendServer",
+    "CandidateLost",
     "Configuration",
     "Durability",
     "GroupConfirmer",
+    "GroupPhase",
+    "GroupRecord",
+    "GroupRecords",
     "GroupView",
     "InstanceRecord",
+    "NewPrimary",
     "Pool",
+    "Promotion",
     "RankTarget",
     "Route",
+    "StoredRecord",
     "TermHistory",
     "TermStart",
     "member_statuses",
--- a/src/wigeonpoint/version/_confirmation.py
+++ b/src/wigeonpoint/version/_confirmation.py
@@ -2,16 +2,18 @@
 
 A member confirms (term, position) when it obeys that term, its log ends in that term, and its
 position is at or past the answer's. Only statuses that were requested after the statement ran
-count, so that a promotion before a read cannot be missed.
+count, so that a promotion before a read cannot be missed. Requests and waiting answers are ordered
+by a counter rather than by the clock, whose resolution may show two of them at the same time.
 """
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 from dataclasses import dataclass, field
 
 from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
-from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
 from wigeonpoint.version._configuration import Durability
 from wigeonpoint.version._servers import BackendServer
 
@@ -20,19 +22,19 @@
 RETRY_PAUSE_S = 0.02  # between two polls of a member that did not answer
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class _Waiter:
     at: LogPosition
     server_id: str
     durability: Durability
-    joined_at: float
+    joined_at: int
     done: asyncio.Future[None] = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
 class _Observation:
     status: MemberStatus
-    requested_at: float
+    requested_at: int
 
 
 class GroupConfirmer:
@@ -48,7 +50,8 @@
     def __init__(self, servers: list[BackendServer], backend: Backend) -> None:
         self._servers = servers
         self._backend = backend
-        self._waiters: list[_Waiter] = []
+        self._waiters: set[_Waiter] = set()
+        self._order = itertools.count(1)
         self._observed: dict[str, _Observation] = {}
         self._wanted = asyncio.Event()
         self._pollers = [asyncio.create_task(self._poll(server)) for server in servers]
@@ -88,8 +91,8 @@
                 CONFIRMATION_TIMEOUT when no majority confirmed in time.
         """
         loop = asyncio.get_running_loop()
-        waiter = _Waiter(at, server_id, durability, loop.time(), loop.create_future())
-        self._waiters.append(waiter)
+        waiter = _Waiter(at, server_id, durability, next(self._order), loop.create_future())
+        self._waiters.add(waiter)
         self._wanted.set()
         try:
             await asyncio.wait_for(waiter.done, timeout)
@@ -99,18 +102,16 @@
                 f"no majority confirmed term {at.term} position {at.position} in time",
             ) from error
         finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
+            self._waiters.discard(waiter)
 
     async def _poll(self, server: BackendServer) -> None:
-        loop = asyncio.get_running_loop()
         member = self._backend.member(server.address)
         while True:
             await self._wait_for_waiters()
-            requested_at = loop.time()
+            requested_at = next(self._order)
             try:
                 status = await member.status(timeout=STATUS_TIMEOUT_S)
-            except WigeonpointError:
+            except Exception:  # a poller that ends would leave every later answer unconfirmed
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
             self._observed[server.id] = _Observation(status, requested_at)
@@ -128,28 +129,30 @@
             if not waiter.done.done():
                 self._evaluate_waiter(waiter)
             if waiter.done.done():
-                self._waiters.remove(waiter)
+                self._waiters.discard(waiter)
 
     def _evaluate_waiter(self, waiter: _Waiter) -> None:
-        fresh = {
-            server_id: observation.status
-            for server_id, observation in self._observed.items()
-            if observation.requested_at >= waiter.joined_at
-        }
-        if any(status.fenced_term > waiter.at.term for status in fresh.values()):
-            waiter.done.set_exception(_replaced(f"term {waiter.at.term} has ended"))
-            return
-        if not self._is_primary(fresh.get(waiter.server_id), waiter.at.term):
+        confirming = 0
+        for observation in self._observed.values():
+            if observation.requested_at < waiter.joined_at:
+                continue
+            if observation.status.fenced_term > waiter.at.term:
+                waiter.done.set_exception(_replaced(f"term {waiter.at.term} has ended"))
+                return
+            confirming += _confirms(observation.status, waiter)
+        if confirming < self.majority:
             return
-        confirming = sum(_confirms(status, waiter) for status in fresh.values())
-        if confirming >= self.majority:
+        primary = self._observed.get(waiter.server_id)
+        if (
+            primary is not None
+            and primary.requested_at >= waiter.joined_at
+            and self._is_primary(primary.status, waiter.at.term)
+        ):
             waiter.done.set_result(None)
 
     @staticmethod
-    def _is_primary(status: MemberStatus | None, term: int) -> bool:
-        return (
-            status is not None and status.role is MemberRole.PRIMARY and status.fenced_term == term
-        )
+    def _is_primary(status: MemberStatus, term: int) -> bool:
+        return status.role is MemberRole.PRIMARY and status.fenced_term == term
 
 
 def _confirms(status: MemberStatus, waiter: _Waiter) -> bool:
--- a/tests/test_term_history.py
+++ b/tests/test_term_history.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from tests.fakes import FakeBackend, FakeNetwork
 
+from tests.fakes import FakeBackend, FakeNetwork
 from wigeonpoint.backend import LogPosition
 from wigeonpoint.version import GroupView, TermHistory
 
