Test changes of primary on the virtual clock

A watcher whose second opinion arrived after another watcher had announced the new primary claimed a further term. It now judges the members again once the opinion is in. The fake connection closes work that it never started.

--- a/src/wigeonpoint/process/_watcher.py
+++ b/src/wigeonpoint/process/_watcher.py
@@ -171,8 +171,9 @@
         for server in suspects:
             if not await self._detector.agrees(server):
                 return None
-        # The primary may have answered a probe while the detector asked.
-        return _Need.REPLACE if self._probe.primary() is None else None
+        # While the detector asked, the primary may have answered or another may have been announced.
+        unchanged = self._probe.primary() is None and self._probe.suspects() == suspects
+        return _Need.REPLACE if unchanged else None
 
     def _need_with_primary(self, primary: MemberProbe) -> _Need | None:
         if self._probe.leaving(primary) and self._probe.can_do_without(primary):
--- a/src/wigeonpoint/version/_promotion.py
+++ b/src/wigeonpoint/version/_promotion.py
@@ -217,7 +217,7 @@
         start = TermHistory(record.history).starts[-1].start
         misses = 0
         while loop.time() < end:
-            statuses = await self._statuses(record, start)
+            statuses = await self._statuses(record)
             candidate = statuses.get(record.candidate)
             if any(status.fenced_term > record.term for status in statuses.values()):
                 raise self._candidate_lost(record)
@@ -241,8 +241,8 @@
             f"no majority of group {self._group.name} followed term {record.term} in time",
         )
 
-    async def _statuses(self, record: GroupRecord, start: int) -> dict[str, MemberStatus]:
-        """Statuses of the members, as soon as a majority holds the first entry."""
+    async def _statuses(self, record: GroupRecord) -> dict[str, MemberStatus]:
+        """Statuses of the members, as soon as the candidate and a majority have answered."""
         servers = [server for server in self._group.servers if server.id in record.members]
         calls = {self._spawn(self._member_status(server)) for server in servers}
         found: dict[str, MemberStatus] = {}
@@ -252,12 +252,7 @@
                 server_id, status = call.result()
                 if status is not None:
                     found[server_id] = status
-            holding = {
-                server_id
-                for server_id, status in found.items()
-                if _holds_first_entry(status, record.term, start)
-            }
-            if record.candidate in found and _has_majority(holding, record.members):
+            if record.candidate in found and _has_majority(set(found), record.members):
                 break
         return found
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -212,6 +212,8 @@
             raise OutcomeUnknown(
                 ResultCode.CONNECTION_LOST, f"connection to {self._address} was lost"
             ) from error
+        finally:
+            work.close()  # has no effect unless the work was never started
 
 
 class FakeBackend:
--- /dev/null
+++ b/tests/test_failover.py
@@ -0,0 +1,173 @@
+"""Changes of primary on the virtual clock."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import pytest
+
+from tests.fleet import Fleet
+from wigeonpoint.errors import WigeonpointError
+from wigeonpoint.events import Event
+
+BUDGET_S = 6.0
+
+pytestmark = pytest.mark.looptime
+
+
+class _EndOfClaimant(logging.Handler):
+    """Ends the deciding task of the instance that first logs an event."""
+
+    def __init__(self, event: Event) -> None:
+        super().__init__(logging.INFO)
+        self._event = event
+        self.ended = False
+
+    def emit(self, record: logging.LogRecord) -> None:
+        task = asyncio.current_task()
+        if not self.ended and task and getattr(record, "event", None) == self._event.number:
+            self.ended = True
+            task.cancel()
+
+
+class TestLostPrimary:
+    """Guards against a service gap above the budget and against a lost acknowledged write."""
+
+    async def test_killed_primary(self) -> None:
+        async with Fleet() as fleet:
+            fleet.kill_member(0)
+            assert await fleet.gap("sargans") < BUDGET_S
+            new = next(member for member in fleet.members[1:] if member.status().role == "primary")
+            assert "first" in new.data
+            assert (await fleet.record())["term"] == 2
+
+    async def test_single_watcher_detection(self) -> None:
+        async with Fleet("single") as fleet:
+            fleet.kill_member(0)
+            assert await fleet.gap("gallen") < BUDGET_S
+
+    async def test_primary_cut_off_with_callers_on_its_side(self) -> None:
+        async with Fleet() as fleet:
+            fleet.cut_off("chur")
+            lost = asyncio.create_task(fleet.write("chur", "lost", within=8.0))
+            assert await fleet.gap("sargans") < BUDGET_S
+            with pytest.raises(WigeonpointError):
+                await lost
+            assert fleet.members[0].status().role == "primary"
+            fleet.network.heal()
+            await asyncio.sleep(3.0)
+            assert fleet.members[0].status().fenced_term == 2
+            assert fleet.members[0].data == fleet.members[1].data
+            assert "lost" not in fleet.members[1].data
+            await fleet.write("chur", "again", within=2.0)
+
+    async def test_pause_shorter_than_detection_changes_nothing(self) -> None:
+        async with Fleet() as fleet:
+            fleet.network.down.add(fleet.members[0].name)
+            await asyncio.sleep(1.0)
+            fleet.network.down.clear()
+            await asyncio.sleep(5.0)
+            assert await fleet.record() == {}
+
+    async def test_second_failure_after_the_first(self) -> None:
+        async with Fleet() as fleet:
+            fleet.kill_member(0)
+            await fleet.gap("sargans")
+            await asyncio.sleep(2.0)
+            fleet.network.down.clear()  # the first member returns with its old log
+            fleet.members[0].start()
+            await asyncio.sleep(2.0)
+            primary = next(
+                m
+                for m in fleet.members
+                if m.status().fenced_term == 2 and m.status().role == "primary"
+            )
+            fleet.kill_member(fleet.members.index(primary))
+            assert await fleet.gap("chur") < BUDGET_S
+            assert (await fleet.record())["term"] == 3
+
+
+class TestInterruptedPromotion:
+    """Guards against a change of primary that nobody finishes."""
+
+    @pytest.mark.parametrize(
+        "event",
+        [
+            Event.PRIMARY_UNREACHABLE,
+            Event.TERM_CLAIMED,
+            Event.TERM_FENCED,
+            Event.CANDIDATE_CHOSEN,
+            Event.MEMBER_PROMOTED,
+        ],
+    )
+    async def test_claimant_dies_after_a_step(self, event: Event) -> None:
+        async with Fleet() as fleet:
+            logger, end = logging.getLogger("wigeonpoint"), _EndOfClaimant(event)
+            logger.addHandler(end)
+            level = logger.level
+            logger.setLevel(logging.INFO)
+            try:
+                fleet.kill_member(0)
+                assert await fleet.gap("sargans") < BUDGET_S
+                assert end.ended
+                await asyncio.sleep(6.0)
+            finally:
+                logger.setLevel(level)
+                logger.removeHandler(end)
+            record = await fleet.record()
+            assert record["phase"] == "stable"
+
+    async def test_candidate_dies(self) -> None:
+        async with Fleet() as fleet:
+            fleet.kill_member(0)
+            for _ in range(10_000):
+                if (await fleet.record()).get("phase") == "promoting":
+                    break
+                await asyncio.sleep(0.001)
+            candidate = str((await fleet.record())["candidate"])
+            index = [member.name for member in fleet.members].index(candidate)
+            fleet.kill_member(index)
+            await asyncio.sleep(1.0)
+            fleet.network.down.discard(fleet.members[0].name)
+            fleet.members[0].start()
+            assert await fleet.gap("chur") < BUDGET_S
+            assert int(str((await fleet.record())["term"])) >= 3
+
+    @pytest.mark.parametrize("lost", [1, 2, 3])
+    async def test_lost_answers_of_the_store(self, lost: int) -> None:
+        async with Fleet() as fleet:
+            fleet.tables.answers_to_lose = lost
+            fleet.kill_member(0)
+            assert await fleet.gap("sargans") < BUDGET_S
+
+
+class TestTableServiceDown:
+    """Guards against a platform outage that stops statements or starts a promotion."""
+
+    async def test_writes_go_on_and_promotion_waits(self) -> None:
+        async with Fleet() as fleet:
+            fleet.tables.down = True
+            for number in range(5):
+                await fleet.write("gallen", f"during-{number}")
+                await asyncio.sleep(1.0)
+            fleet.kill_member(0)
+            await asyncio.sleep(5.0)
+            assert all(member.status().fenced_term == 1 for member in fleet.members)
+            fleet.tables.down = False
+            assert await fleet.gap("gallen") < BUDGET_S
+
+
+class TestLeavingPrimary:
+    """Guards against a handover that fences the leaving primary or chooses it again."""
+
+    async def test_handover(self) -> None:
+        async with Fleet() as fleet:
+            fleet.list_leaving(0)
+            await asyncio.sleep(2.0)
+            record = await fleet.record()
+            assert (record["term"], record["phase"]) == (2, "stable")
+            assert record["primary"] != fleet.members[0].name
+            assert await fleet.gap("chur") < 0.5
+            await asyncio.sleep(3.0)
+            assert (await fleet.record())["term"] == 2
