--- a/src/wigeonpoint/process/_watcher.py
+++ b/src/wigeonpoint/process/_watcher.py
@@ -171,7 +171,7 @@
         for server in suspects:
             if not await self._detector.agrees(server):
                 return None
-        # While the detector asked, the primary may have answered or another may have been announced.
+        # While the detector asked, the primary may have answered, or a new one been announced.
         unchanged = self._probe.primary() is None and self._probe.suspects() == suspects
         return _Need.REPLACE if unchanged else None
 
--- /dev/null
+++ b/tools/bench_failover.py
@@ -0,0 +1,138 @@
+"""Measures failover gaps and false promotions on separate processes on loopback."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import signal
+import time
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+from tools.cluster import Cluster, call, wait_until
+
+GROUP = "signplan-0"
+DATA_CENTRES = ["chur", "sargans", "gallen"]
+WRITE_TIMEOUT_S = 1.0
+GAP_LIMIT_S = 15.0
+PAUSES = 3
+PAUSE_S = 1.0
+SLOW_S = 4.0
+SLOW_REPLICATION_MS = 200
+STEPS = {400: "detected", 402: "claimed", 403: "fenced", 405: "promoted", 407: "stable"}
+
+
+def _cluster(detection: str) -> Cluster:
+    cluster = Cluster().__enter__()
+    cluster.add_group(GROUP, DATA_CENTRES)
+    cluster.put_rows("pools", {"plans": {"group": GROUP}})
+    cluster.put_rows("routes", {"closures": {"pool": "plans"}})
+    names = [f"{data_centre}-1" for data_centre in DATA_CENTRES]
+    for name, data_centre in zip(names, DATA_CENTRES, strict=True):
+        cluster.add_instance(name, data_centre, detection=detection)
+    cluster.wait_ready(*names)
+    wait_until(lambda: _write(cluster, "first"), "first write")
+    time.sleep(1.5)  # every watcher has probed the primary
+    return cluster
+
+
+def _write(cluster: Cluster, key: str) -> bool:
+    reply = cluster.statement(
+        "sargans-1",
+        route="closures",
+        text="PUT ? 1",
+        parameters=[key],
+        access="write",
+        deadline_ms=int(WRITE_TIMEOUT_S * 1000),
+    )
+    return bool(reply.body["outcome"] == "done")
+
+
+def _gap(detection: str, number: signal.Signals) -> dict[str, Any]:
+    """Fails the primary and times the way to the first acknowledged write."""
+    cluster = _cluster(detection)
+    try:
+        failed_at = time.time()
+        cluster.processes[f"{GROUP}-0"].send_signal(number)
+        count = 0
+        while time.time() - failed_at < GAP_LIMIT_S:
+            count += 1
+            if _write(cluster, f"after-{count}"):
+                break
+        acknowledged_at = time.time()
+        time.sleep(1.0)
+        steps = _steps(cluster)
+        result = {"acknowledged": acknowledged_at - failed_at, "terms": _term(cluster) - 1}
+        result.update({name: at - failed_at for name, at in steps.items()})
+        return {name: round(value, 3) for name, value in result.items()}
+    finally:
+        cluster.__exit__(None, None, None)
+
+
+def _steps(cluster: Cluster) -> dict[str, float]:
+    """First time of each logged step over all instances."""
+    first: dict[str, float] = {}
+    for data_centre in DATA_CENTRES:
+        for line in (cluster.directory / f"{data_centre}-1.log").read_text().splitlines():
+            event = json.loads(line)
+            name = STEPS.get(event.get("event", 0))
+            if name is not None:
+                at = datetime.strptime(event["time"], "%Y-%m-%d %H:%M:%S,%f").timestamp()
+                first[name] = min(at, first.get(name, at))
+    return first
+
+
+def _term(cluster: Cluster) -> int:
+    reply = call("GET", f"http://{cluster.platform}/tables/groups")
+    return int(reply.body[0]["value"]["term"]) if reply.body else 1
+
+
+def _false_promotions(detection: str) -> dict[str, int]:
+    """Counts terms claimed under pauses of the primary and under slow replicas."""
+    cluster = _cluster(detection)
+    try:
+        primary = cluster.processes[f"{GROUP}-0"]
+        for _ in range(PAUSES):
+            primary.send_signal(signal.SIGSTOP)
+            time.sleep(PAUSE_S)
+            primary.send_signal(signal.SIGCONT)
+            time.sleep(PAUSE_S)
+        after_pauses = _term(cluster) - 1
+        options = {"replication_ms": SLOW_REPLICATION_MS}
+        call("POST", f"http://{primary.address}/options", options)
+        end = time.monotonic() + SLOW_S
+        writes = 0
+        while time.monotonic() < end:
+            writes += _write(cluster, f"slow-{writes}")
+        return {
+            "pauses": PAUSES,
+            "promotions_under_pauses": after_pauses,
+            "promotions_under_slow_replicas": _term(cluster) - 1 - after_pauses,
+            "writes_under_slow_replicas": writes,
+        }
+    finally:
+        cluster.__exit__(None, None, None)
+
+
+def main() -> None:
+    """Runs every measurement once for each detection method and prints JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", type=Path, help="also write the result to this file")
+    parser.add_argument("--repeats", type=int, default=2, choices=range(1, 11))
+    arguments = parser.parse_args()
+    result: dict[str, Any] = {}
+    for detection in ("single", "second_opinion"):
+        result[detection] = {
+            "killed": [_gap(detection, signal.SIGKILL) for _ in range(arguments.repeats)],
+            "stopped": [_gap(detection, signal.SIGSTOP) for _ in range(arguments.repeats)],
+            "false": _false_promotions(detection),
+        }
+    text = json.dumps(result, indent=2)
+    print(text)
+    if arguments.json is not None:
+        arguments.json.write_text(text + "\n")
+
+
+if __name__ == "__main__":
+    main()
