--- a/src/wigeonpoint/process/_configuration_feed.py
+++ b/src/wigeonpoint/process/_configuration_feed.py
@@ -6,8 +6,8 @@
 from contextlib import suppress
 
 from wigeonpoint.errors import PlatformError
-from wigeonpoint.platform import Platform
-from wigeonpoint.version import Configuration, Pool, Route
+from wigeonpoint.platform import Platform, Row
+from wigeonpoint.version import Configuration, Durability, Pool, Route
 
 POLL_S = 0.5
 
@@ -52,5 +52,10 @@
             self._configuration = Configuration(
                 number,
                 {row.key: Route(row.key, row.value["pool"]) for row in routes},
-                {row.key: Pool(row.key, row.value["group"]) for row in pools},
+                {row.key: _pool(row) for row in pools},
             )
+
+
+def _pool(row: Row) -> Pool:
+    durability = Durability(row.value.get("durability", Durability.MAJORITY))
+    return Pool(row.key, row.value["group"], durability)
--- a/tools/bench_failover.py
+++ b/tools/bench_failover.py
@@ -20,14 +20,18 @@
 PAUSE_S = 1.0
 SLOW_S = 4.0
 SLOW_REPLICATION_MS = 200
+LATENCY_WRITES = 400
+WRITES_BEFORE_KILL_S = 2.0
+ROUTES = {"majority": "closures", "primary": "fast"}
 STEPS = {400: "detected", 402: "claimed", 403: "fenced", 405: "promoted", 407: "stable"}
 
 
 def _cluster(detection: str) -> Cluster:
     cluster = Cluster().__enter__()
     cluster.add_group(GROUP, DATA_CENTRES)
-    cluster.put_rows("pools", {"plans": {"group": GROUP}})
-    cluster.put_rows("routes", {"closures": {"pool": "plans"}})
+    pools = {name: {"group": GROUP, "durability": name} for name in ROUTES}
+    cluster.put_rows("pools", pools)
+    cluster.put_rows("routes", {route: {"pool": name} for name, route in ROUTES.items()})
     names = [f"{data_centre}-1" for data_centre in DATA_CENTRES]
     for name, data_centre in zip(names, DATA_CENTRES, strict=True):
         cluster.add_instance(name, data_centre, detection=detection)
@@ -37,10 +41,10 @@
     return cluster
 
 
-def _write(cluster: Cluster, key: str) -> bool:
+def _write(cluster: Cluster, key: str, route: str = "closures") -> bool:
     reply = cluster.statement(
         "sargans-1",
-        route="closures",
+        route=route,
         text="PUT ? 1",
         parameters=[key],
         access="write",
@@ -83,6 +87,59 @@
     return first
 
 
+def _latency() -> dict[str, Any]:
+    """Write latency by durability; writes alternate, so that both see the same load."""
+    cluster = _cluster("second_opinion")
+    samples: dict[str, list[float]] = {name: [] for name in ROUTES}
+    try:
+        for count in range(LATENCY_WRITES):
+            for name, route in ROUTES.items():
+                started = time.perf_counter()
+                if _write(cluster, f"{name}-{count}", route):
+                    samples[name].append(time.perf_counter() - started)
+    finally:
+        cluster.__exit__(None, None, None)
+    result: dict[str, Any] = {}
+    for share in (50, 99):
+        found = {name: sorted(values) for name, values in samples.items()}
+        at = {name: values[len(values) * share // 100] for name, values in found.items()}
+        result[f"p{share}_ms"] = {name: round(value * 1000, 2) for name, value in at.items()}
+        result[f"p{share}_majority_to_primary"] = round(at["majority"] / at["primary"], 2)
+    return result
+
+
+def _lost_writes(durability: str) -> dict[str, Any]:
+    """Kills the primary amid writes while replication lags; counts acknowledged ones missing."""
+    cluster = _cluster("second_opinion")
+    route = ROUTES[durability]
+    try:
+        primary = cluster.processes[f"{GROUP}-0"]
+        options = {"replication_ms": SLOW_REPLICATION_MS}
+        call("POST", f"http://{primary.address}/options", options)
+        acknowledged = []
+        end = time.monotonic() + WRITES_BEFORE_KILL_S
+        while time.monotonic() < end:
+            key = f"kept-{len(acknowledged)}"
+            if _write(cluster, key, route):
+                acknowledged.append(key)
+        failed_at = time.monotonic()
+        primary.kill()
+        while not _write(cluster, "after", route) and time.monotonic() - failed_at < GAP_LIMIT_S:
+            pass
+        gap = time.monotonic() - failed_at
+        reply = cluster.statement(
+            "sargans-1", route=route, text="SCAN kept-", access="read", max_age_ms=0
+        )
+        found = {row[0] for row in reply.body["rows"]}
+        return {
+            "gap": round(gap, 3),
+            "acknowledged": len(acknowledged),
+            "lost": len(set(acknowledged) - found),
+        }
+    finally:
+        cluster.__exit__(None, None, None)
+
+
 def _term(cluster: Cluster) -> int:
     reply = call("GET", f"http://{cluster.platform}/tables/groups")
     return int(reply.body[0]["value"]["term"]) if reply.body else 1
@@ -121,7 +178,10 @@
     parser.add_argument("--json", type=Path, help="also write the result to this file")
     parser.add_argument("--repeats", type=int, default=2, choices=range(1, 11))
     arguments = parser.parse_args()
-    result: dict[str, Any] = {}
+    result: dict[str, Any] = {
+        "latency": _latency(),
+        "lost_writes": {name: _lost_writes(name) for name in ROUTES},
+    }
     for detection in ("single", "second_opinion"):
         result[detection] = {
             "killed": [_gap(detection, signal.SIGKILL) for _ in range(arguments.repeats)],
