--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -88,6 +88,18 @@
             assert (await fleet.record())["term"] == 3
 
 
+class TestLinkFault:
+    """Guards against one watcher's broken link that moves a primary which the others reach."""
+
+    @pytest.mark.parametrize(("detection", "moved"), [("single", True), ("second_opinion", False)])
+    async def test_one_link_cut(self, detection: str, moved: bool) -> None:
+        async with Fleet(detection) as fleet:
+            fleet.network.cut("chur", "sargans")
+            await asyncio.sleep(6.0)
+            assert (await fleet.record() != {}) is moved
+            await fleet.write("gallen", "during")
+
+
 class TestInterruptedPromotion:
     """Guards against a change of primary that nobody finishes."""
 
@@ -161,9 +173,13 @@
 class TestLeavingPrimary:
     """Guards against a handover that fences the leaving primary or chooses it again."""
 
-    async def test_handover(self) -> None:
+    @pytest.mark.parametrize("listed", [True, False])
+    async def test_handover(self, listed: bool) -> None:
         async with Fleet() as fleet:
-            fleet.list_leaving(0)
+            if listed:
+                fleet.list_leaving(0)
+            else:
+                fleet.members[0].options.leaving = True
             await asyncio.sleep(2.0)
             record = await fleet.record()
             assert (record["term"], record["phase"]) == (2, "stable")
