--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo format lint types binary clean
+.PHONY: test demo format lint types binary clean bench-failover
 
 $(STAMP): requirements.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -31,5 +31,8 @@
 	$(BIN)/shiv --quiet --compressed --reproducible -c wigeonpoint -p '/usr/bin/env python3.11' \
 		-o dist/wigeonpoint --constraint requirements.txt .
 
+bench-failover: $(STAMP)
+	PYTHONPATH=src $(BIN)/python -m tools.bench_failover
+
 clean:
 	rm -rf build dist *.egg-info
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -15,6 +15,13 @@
 from wigeonpoint.platform import Listing, ListingKind, ListingState, Platform
 from wigeonpoint.process._burn_service import BurnService
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
+from wigeonpoint.process._detection import (
+    DetectionMethod,
+    FailureDetector,
+    MemberProbeService,
+    SecondOpinionDetector,
+    SingleWatcherDetector,
+)
 from wigeonpoint.process._directory_feed import DirectoryFeed
 from wigeonpoint.process._drain import Drain
 from wigeonpoint.process._owner_service import OwnerService
@@ -24,7 +31,8 @@
 from wigeonpoint.process._swim import Swim, VersionHooks
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.process._transaction_router import TransactionRouter
-from wigeonpoint.version import Configuration, InstanceRecord, Membership, Pool
+from wigeonpoint.process._watcher import PrimaryAnnouncer, Watcher
+from wigeonpoint.version import Configuration, GroupRecords, InstanceRecord, Membership, Pool
 
 
 class InstanceCore:
@@ -86,6 +94,11 @@
             ),
         )
         self.swim.register(dispatcher)
+        MemberProbeService(self.topology, backend).register(dispatcher)
+        announcer = PrimaryAnnouncer(self.topology, transport)
+        announcer.register(dispatcher)
+        records = GroupRecords(platform.tables)
+        self.watcher = Watcher(self.topology, records, backend, self._detector(), announcer)
         keys = settings.session_keys
         tokens = SessionTokens(TokenSigner(keys.keys, keys.active, purpose="session"))
         ids = TransactionIds(TokenSigner(keys.keys, keys.active, purpose="transaction"))
@@ -106,6 +119,7 @@
         self.directory_feed.start()
         self.swim.start()
         self.owners.start()
+        self.watcher.start()
 
     async def finish_work(self) -> None:
         """Runs a graceful shutdown up to the point where `close` interrupts nothing."""
@@ -122,6 +136,7 @@
         self.swim.close()
         self.feed.close()
         self.directory_feed.close()
+        self.watcher.close()
         self.owners.close()
         self.transport.close()
         self.topology.close()
@@ -144,6 +159,11 @@
         )
         self.owners.apply_ownership()
 
+    def _detector(self) -> FailureDetector:
+        if self.settings.detection is DetectionMethod.SINGLE:
+            return SingleWatcherDetector()
+        return SecondOpinionDetector(self.topology, self.transport)
+
     def _configuration(self) -> Configuration:
         return self.feed.configuration
 
--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -19,7 +19,15 @@
 from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
 from wigeonpoint.version._edits import Edit, EditConflict, Editor, EditResult, RowChange
 from wigeonpoint.version._group import GroupView
+from wigeonpoint.version._group_record import (
+    GroupPhase,
+    GroupRecord,
+    GroupRecords,
+    StoredRecord,
+)
+from wigeonpoint.version._history import TermHistory, TermStart
 from wigeonpoint.version._membership import MemberDelta, Membership, MemberState
+from wigeonpoint.version._promotion import CandidateLost, NewPrimary, Promotion
 from wigeonpoint.version._rows import POOLS, ROUTES, RowProblem, RowValue, RowValues
 from wigeonpoint.version._servers import (
     BackendServer,
@@ -44,6 +52,7 @@
     "POOLS",
     "ROUTES",
     "BackendServer",
+    "CandidateLost",
     "Configuration",
     "ConfigurationState",
     "ConfigurationStore",
@@ -54,13 +63,18 @@
     "EditResult",
     "Editor",
     "GroupConfirmer",
+    "GroupPhase",
+    "GroupRecord",
+    "GroupRecords",
     "GroupView",
     "Head",
     "InstanceRecord",
     "MemberDelta",
     "MemberState",
     "Membership",
+    "NewPrimary",
     "Pool",
+    "Promotion",
     "RankTarget",
     "Route",
     "RowChange",
@@ -70,6 +84,9 @@
     "StateChange",
     "TableAcceptance",
     "build_state",
+    "StoredRecord",
+    "TermHistory",
+    "TermStart",
     "member_statuses",
     "owner_of",
     "refuse",
