Prove the age of reads, limit retries and resolve lost commits at the entry

Cause: reads with a stated age always went to the primary, retries had no budget, and a lost answer to a commit stayed unknown. Change: the router is split into attempts, reads, member choice, position samples and work sender; a commit's request id is looked up on the confirmed primary; given-up messages are cancelled.

--- a/src/wigeonpoint/_errors.py
+++ b/src/wigeonpoint/_errors.py
@@ -47,6 +47,7 @@
     MEMBER_BEHIND = 211
     NO_CONFIGURATION = 212
     BACKEND_LEAVING = 213
+    TRANSACTION_LOST = 214
 
     CONNECTION_LOST = 300
     CONFIRMATION_TIMEOUT = 301
@@ -95,6 +96,7 @@
         self._code = code
         self._message = message
         self._retry_after_ms = retry_after_ms
+        self.request_id: str | None = None  # id to repeat the request with, set by the entry
 
     @property
     def code(self) -> ResultCode:
--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -20,6 +20,9 @@
     INSTANCE_STOPPING = (101, logging.INFO, "graceful shutdown started")
     INSTANCE_STOPPED = (102, logging.INFO, "instance stopped")
     INTERNAL_ERROR = (103, logging.ERROR, "unexpected error")
+    RETRY_BUDGET_EMPTY = (600, logging.WARNING, "retry budget of the route is used up")
+    POSITION_LOST = (601, logging.ERROR, "a session requires a position that no log contains")
+    COMMIT_UNRESOLVED = (602, logging.WARNING, "the outcome of a commit could not be resolved")
 
     def __init__(self, number: int, level: int, sentence: str) -> None:
         self.number = number
--- a/src/wigeonpoint/backend/_protocol.py
+++ b/src/wigeonpoint/backend/_protocol.py
@@ -126,8 +126,17 @@
         """Runs a statement, inside the open transaction if there is one."""
         ...
 
-    async def begin(self, *, timeout: float) -> None:
-        """Opens a transaction."""
+    async def begin(self, *, timeout: float) -> int:
+        """Opens a transaction and gives its term; a commit in another term is refused."""
+        ...
+
+    async def recorded(self, request_id: str, *, timeout: float) -> BackendAnswer:
+        """Looks a request id up at the primary.
+
+        Returns:
+            The recorded answer with `repeated` set, or an answer without it when the log up to
+            its position holds no such id.
+        """
         ...
 
     async def commit(self, request_id: str | None, *, timeout: float) -> BackendAnswer:
--- a/src/wigeonpoint/backend/_websocket.py
+++ b/src/wigeonpoint/backend/_websocket.py
@@ -39,9 +39,13 @@
         """Runs a statement, inside the open transaction if there is one."""
         return _ANSWER.validate_python(await self._call("execute", exchange, timeout))
 
-    async def begin(self, *, timeout: float) -> None:
-        """Opens a transaction."""
-        await self._call("begin", None, timeout)
+    async def begin(self, *, timeout: float) -> int:
+        """Opens a transaction and gives its term."""
+        return int(await self._call("begin", None, timeout))
+
+    async def recorded(self, request_id: str, *, timeout: float) -> BackendAnswer:
+        """Looks a request id up at the primary."""
+        return _ANSWER.validate_python(await self._call("recorded", request_id, timeout))
 
     async def commit(self, request_id: str | None, *, timeout: float) -> BackendAnswer:
         """Commits the open transaction and records the request id with it."""
--- a/src/wigeonpoint/connection/_messages.py
+++ b/src/wigeonpoint/connection/_messages.py
@@ -71,6 +71,49 @@
         return LogPosition(self.term, self.position)
 
 
+@dataclass(frozen=True, slots=True)
+class CancelMessage:
+    """Removes a message that its entry has given up from the owner's queue."""
+
+    message_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class CancelReply:
+    """Whether the work was removed before anything was sent to the backend server."""
+
+    removed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SamplePositionMessage:
+    """Asks for the confirmed position of a primary."""
+
+    group: str
+    server_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SamplePositionReply:
+    """Log end of the primary, read after the message was sent."""
+
+    term: int
+    position: int
+
+    @property
+    def at(self) -> LogPosition:
+        """Term and position."""
+        return LogPosition(self.term, self.position)
+
+
+@dataclass(frozen=True, slots=True)
+class RecordedMessage:
+    """Asks the primary for the answer recorded under a request id."""
+
+    work: WorkDetails
+    request_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class BeginMessage:
     """Opens a transaction for a session."""
@@ -81,9 +124,10 @@
 
 @dataclass(frozen=True, slots=True)
 class BeginReply:
-    """Number of the transaction at its owner."""
+    """Number of the transaction at its owner, and the term that it belongs to."""
 
     number: str
+    term: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/connection/_peers.py
+++ b/src/wigeonpoint/connection/_peers.py
@@ -75,7 +75,12 @@
 
     async def deliver(self, message: Any) -> Any:
         """Hands a message of this instance to itself, without encoding it."""
-        return await self._handlers[type(message).__name__].handle(message)
+        handler = self._handlers.get(type(message).__name__)
+        if handler is None:
+            raise InvalidRequest(
+                ResultCode.INVALID_FIELD, f"unknown peer message {type(message).__name__}"
+            )
+        return await handler.handle(message)
 
 
 class PeerChannels:
--- a/src/wigeonpoint/connection/_transaction_id.py
+++ b/src/wigeonpoint/connection/_transaction_id.py
@@ -17,12 +17,16 @@
         number: Number of the transaction there.
         group: Database group.
         route: Route that it was begun on.
+        term: Term of the primary at its begin.
+        server_id: Backend server that holds it.
     """
 
     address: str
     number: str
     group: str
     route: str
+    term: int = 0
+    server_id: str = ""
 
 
 class TransactionIds:
@@ -38,7 +42,14 @@
     def encode(self, transaction: TransactionId) -> str:
         """Writes an id."""
         return self._signer.encode(
-            [transaction.address, transaction.number, transaction.group, transaction.route]
+            [
+                transaction.address,
+                transaction.number,
+                transaction.group,
+                transaction.route,
+                transaction.term,
+                transaction.server_id,
+            ]
         )
 
     def decode(self, text: str) -> TransactionId:
--- a/src/wigeonpoint/connection/_transactions.py
+++ b/src/wigeonpoint/connection/_transactions.py
@@ -24,6 +24,7 @@
     pool: BackendPool
     connection: BackendConnection
     used_at: float
+    term: int = 0
     busy: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
@@ -57,7 +58,7 @@
     ) -> OpenTransaction:
         """Opens a transaction on a connection, which it keeps until it ends."""
         try:
-            await connection.begin(timeout=timeout)
+            term = await connection.begin(timeout=timeout)
         except BaseException:
             pool.discard(connection)
             raise
@@ -69,6 +70,7 @@
             pool=pool,
             connection=connection,
             used_at=asyncio.get_running_loop().time(),
+            term=term,
         )
         self._open[transaction.number] = transaction
         if self._reaper is None or self._reaper.done():
--- a/src/wigeonpoint/process/_caller_api.py
+++ b/src/wigeonpoint/process/_caller_api.py
@@ -64,6 +64,7 @@
                 outcome=error.outcome,
                 message=error.message,
                 retry_after_ms=error.retry_after_ms,
+                request_id=error.request_id,
             )
         )
 
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from wigeonpoint.backend import Backend
 from wigeonpoint.connection import (
     PeerDispatcher,
@@ -14,6 +16,7 @@
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
 from wigeonpoint.process._directory_feed import DirectoryFeed
 from wigeonpoint.process._owner_service import OwnerService
+from wigeonpoint.process._position_samples import PositionSampleService
 from wigeonpoint.process._router import Router
 from wigeonpoint.process._settings import Settings
 from wigeonpoint.process._topology import Topology
@@ -31,6 +34,7 @@
         backend: Access to backend servers.
         transport: Sends messages to instances.
         dispatcher: Receives the handlers of messages from instances.
+        source: Source of jitter and random choices; tests pass a seeded one.
     """
 
     def __init__(
@@ -42,6 +46,7 @@
         backend: Backend,
         transport: PeerTransport,
         dispatcher: PeerDispatcher,
+        source: random.Random | None = None,
     ) -> None:
         self.settings = settings
         self.record = record
@@ -52,12 +57,18 @@
         self.directory_feed = DirectoryFeed(platform.directory, self.topology)
         self.owners = OwnerService(self.topology, backend, self._pool_row)
         self.owners.register(dispatcher)
+        PositionSampleService(self.topology, backend).register(dispatcher)
         keys = settings.session_keys
         tokens = SessionTokens(TokenSigner(keys.keys, keys.active, purpose="session"))
         ids = TransactionIds(TokenSigner(keys.keys, keys.active, purpose="transaction"))
-        self.router = Router(self.topology, transport, tokens, self._configuration)
+        self.router = Router(self.topology, transport, tokens, self._configuration, source=source)
         self.transactions = TransactionRouter(
-            self.topology, transport, tokens, ids, self._configuration
+            self.topology,
+            transport,
+            tokens,
+            ids,
+            self._configuration,
+            budgets=self.router.budgets,
         )
 
     @property
@@ -74,6 +85,7 @@
         """Ends all tasks and closes all connections."""
         self.feed.close()
         self.directory_feed.close()
+        self.router.close()
         self.owners.close()
         self.transport.close()
         self.topology.close()
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -14,6 +14,7 @@
     ExecuteMessage,
     ExecuteReply,
     PeerDispatcher,
+    RecordedMessage,
     RollbackMessage,
     StatementMessage,
     Transactions,
@@ -58,6 +59,7 @@
         dispatcher.register(StatementMessage, self.execute_in_transaction)
         dispatcher.register(CommitMessage, self.commit)
         dispatcher.register(RollbackMessage, self.rollback)
+        dispatcher.register(RecordedMessage, self.recorded)
 
     async def execute(self, message: ExecuteMessage) -> ExecuteReply:
         """Runs one statement."""
@@ -68,7 +70,7 @@
         """Opens a transaction on the primary."""
         owned = await self._owned_server(message.work)
         transaction = await owned.begin(message, self._transactions)
-        return BeginReply(transaction.number)
+        return BeginReply(transaction.number, transaction.term)
 
     async def execute_in_transaction(self, message: StatementMessage) -> ExecuteReply:
         """Runs a statement of an open transaction; its rows are provisional until the commit."""
@@ -98,6 +100,20 @@
         await self._transactions.rollback(transaction, timeout=message.remaining_ms / 1000)
         return Acknowledgement()
 
+    async def recorded(self, message: RecordedMessage) -> ExecuteReply:
+        """Looks a request id up; `repeated` is false when the confirmed log does not hold it."""
+        owned = await self._owned_server(message.work)
+        deadline = asyncio.get_running_loop().time() + message.work.remaining_ms / 1000
+        connection = await owned.pool.acquire(deadline=deadline)
+        try:
+            answer = await connection.recorded(
+                message.request_id, timeout=message.work.remaining_ms / 1000
+            )
+        finally:
+            owned.pool.release(connection)
+        await owned.confirm(answer.at, Durability.MAJORITY, deadline)
+        return ExecuteReply(answer.rows, answer.term, answer.position, answer.repeated)
+
     def close(self) -> None:
         """Rolls open transactions back and closes idle connections."""
         self._transactions.close()
--- a/src/wigeonpoint/process/_router.py
+++ b/src/wigeonpoint/process/_router.py
@@ -1,63 +1,26 @@
-"""The entry's side of a request: route, backend server, owner, retries and session token."""
+"""The entry's side of a request: attempts, retries, outcome and session token."""
 
 from __future__ import annotations
 
-import asyncio
 import random
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass
-
-from wigeonpoint.backend import Exchange, LogPosition
-from wigeonpoint.connection import (
-    ExecuteMessage,
-    ExecuteReply,
-    PeerTransport,
-    Session,
-    SessionTokens,
-    WorkDetails,
-)
+
+from wigeonpoint.connection import PeerTransport, SessionTokens
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.process._attempt import RequestAttempt
+from wigeonpoint.process._member_choice import MemberChoice
+from wigeonpoint.process._position_samples import PositionSampler
+from wigeonpoint.process._reads import MemberAnswer, Reads, position_lost
 from wigeonpoint.process._topology import Topology
-from wigeonpoint.request import Access, Answer, StatementRequest
-from wigeonpoint.version import BackendServer, Configuration, GroupView, Pool, Route
+from wigeonpoint.process._work_sender import WorkSender
+from wigeonpoint.request import Access, Answer, RetryBudgets, StatementRequest
+from wigeonpoint.version import Configuration, is_abandoned
 
 REQUEST_ID_BYTES = 12
-BACKOFF_FIRST_S = 0.01
-BACKOFF_MAX_S = 0.25
-ATTEMPTS_BEFORE_ACCEPT_ANY = 2
 
 ConfigurationLookup = Callable[[], Configuration]
 
-_RETRYABLE_CODES = {
-    ResultCode.NO_PRIMARY,
-    ResultCode.NOT_OWNER,
-    ResultCode.NOT_PRIMARY,
-    ResultCode.BACKEND_UNREACHABLE,
-    ResultCode.CONNECTION_LIMIT,
-    ResultCode.PEER_UNREACHABLE,
-    ResultCode.INSTANCE_STOPPING,
-}
-
-
-@dataclass(slots=True)
-class _Attempt:
-    """One request on its way through its attempts."""
-
-    request: StatementRequest
-    route: Route
-    pool: Pool
-    group: GroupView
-    session: Session
-    request_id: str | None
-    sent: bool = False  # an earlier attempt may have run
-    count: int = 0
-
-    @property
-    def required(self) -> LogPosition | None:
-        """Position that the session has seen in the group."""
-        return self.session.positions.get(self.group.name)
-
 
 class Router:
     """Carries statements of callers to the owners of backend servers.
@@ -67,6 +30,8 @@
         transport: Sends messages to owners.
         tokens: Session tokens.
         configuration: Gives the configuration in force.
+        source: Source of jitter and random choices; tests pass a seeded one.
+        budgets: Retry budgets, shared with the transactions of the instance.
     """
 
     def __init__(
@@ -75,151 +40,115 @@
         transport: PeerTransport,
         tokens: SessionTokens,
         configuration: ConfigurationLookup,
+        *,
+        source: random.Random | None = None,
+        budgets: RetryBudgets | None = None,
     ) -> None:
+        source = source or random.Random()
         self._topology = topology
-        self._transport = transport
         self._tokens = tokens
         self._configuration = configuration
+        self._budgets = budgets or RetryBudgets(source)
+        self._sender = WorkSender(topology, transport)
+        self._sampler = PositionSampler(topology, transport)
+        choice = MemberChoice(topology.own.data_centre, source)
+        self._reads = Reads(self._sender, choice, self._sampler)
+        self._reads_done = 0
+        self._replica_reads = 0
+
+    @property
+    def budgets(self) -> RetryBudgets:
+        """Retry budgets of the routes."""
+        return self._budgets
+
+    @property
+    def reads_done(self) -> int:
+        """Reads that were answered."""
+        return self._reads_done
+
+    @property
+    def replica_reads(self) -> int:
+        """Reads that a replica answered."""
+        return self._replica_reads
+
+    @property
+    def cancelled(self) -> int:
+        """Messages that owners removed before they ran."""
+        return self._sender.cancelled
+
+    @property
+    def samples_taken(self) -> int:
+        """Confirmed positions that were asked for to prove ages."""
+        return self._sampler.samples_taken
+
+    def close(self) -> None:
+        """Ends the tasks that sample positions."""
+        self._sampler.close()
 
     async def execute(self, request: StatementRequest) -> Answer:
         """Runs a statement and answers with the merged session token.
 
         Raises:
-            WigeonpointError: The request was refused, or its outcome is unknown.
+            WigeonpointError: The request was refused, or its outcome is unknown; then the error
+                carries the id to repeat a write with.
         """
         attempt = self._prepare(request)
-        if request.access is Access.READ and not self._needs_primary(attempt):
-            answer = await self._read_from_replica(attempt)
-            if answer is not None:
-                return answer
-        return await self._run_on_primary(attempt)
+        try:
+            return self._answer(attempt, await self._run(attempt))
+        except OutcomeUnknown as error:
+            error.request_id = attempt.request_id
+            raise
 
-    def _prepare(self, request: StatementRequest) -> _Attempt:
+    def _prepare(self, request: StatementRequest) -> RequestAttempt:
         route, pool = self._configuration().resolve(request.route)
         request_id = request.request_id
         if request.access is Access.WRITE and request_id is None:
             request_id = secrets.token_urlsafe(REQUEST_ID_BYTES)
-        return _Attempt(
+        attempt = RequestAttempt(
             request=request,
             route=route,
             pool=pool,
             group=self._topology.group(pool.group),
             session=self._tokens.decode(request.session),
             request_id=request_id,
+            budget=self._budgets.of(route.name),
         )
+        attempt.budget.note_request()
+        if attempt.required is not None and is_abandoned(attempt.group, attempt.required):
+            raise NotRun(ResultCode.POSITION_LOST, position_lost(attempt).message)
+        return attempt
 
-    @staticmethod
-    def _needs_primary(attempt: _Attempt) -> bool:
-        # Without an accepted age, only a session's own position tells how new the data must be.
-        return attempt.request.max_age_ms is not None or attempt.required is None
-
-    async def _read_from_replica(self, attempt: _Attempt) -> Answer | None:
-        """Reads from a replica that holds the session's position, or gives None."""
-        for server in self._replicas_nearest_first(attempt.group):
-            try:
-                reply = await self._send(attempt, server, confirm=False)
-            except (NotRun, OutcomeUnknown):
-                continue
-            return self._answer(attempt, server, reply, from_replica=True)
-        return None
-
-    def _replicas_nearest_first(self, group: GroupView) -> list[BackendServer]:
-        own = self._topology.own.data_centre
-        usable = [server for server in group.replicas if not server.leaving]
-        return sorted(usable, key=lambda server: (server.data_centre != own, server.id))
-
-    async def _run_on_primary(self, attempt: _Attempt) -> Answer:
+    async def _run(self, attempt: RequestAttempt) -> MemberAnswer:
         while True:
             try:
-                server = await attempt.group.require_primary()
-                reply = await self._send(attempt, server, confirm=True)
-                return self._answer(attempt, server, reply)
+                if attempt.request.access is Access.READ:
+                    return await self._reads.read(attempt)
+                return await self._reads.run_on_primary(attempt)
             except WigeonpointError as error:
-                failure = self._classify(attempt, error)
-                await self._pause_before_retry(attempt, failure)
-
-    def _classify(self, attempt: _Attempt, error: WigeonpointError) -> WigeonpointError:
-        """Decides whether to retry; gives the error to raise when the deadline passes first."""
-        read = attempt.request.access is Access.READ
-        if isinstance(error, OutcomeUnknown):
-            attempt.sent = attempt.sent or not read
-            attempt.group.forget_primary(self._primary_id(attempt.group))
-        elif error.code not in _RETRYABLE_CODES:
-            raise _after_earlier_attempt(error) if attempt.sent else error
-        elif error.code in (ResultCode.NOT_PRIMARY, ResultCode.BACKEND_UNREACHABLE):
-            attempt.group.forget_primary(self._primary_id(attempt.group))
-        if attempt.sent:
-            return _after_earlier_attempt(error)
-        return NotRun(error.code, error.message, retry_after_ms=error.retry_after_ms)
-
-    @staticmethod
-    def _primary_id(group: GroupView) -> str:
-        primary = group.primary
-        return primary.id if primary is not None else ""
-
-    async def _pause_before_retry(self, attempt: _Attempt, failure: WigeonpointError) -> None:
-        attempt.count += 1
-        ceiling = min(BACKOFF_MAX_S, BACKOFF_FIRST_S * 2**attempt.count)
-        pause = random.uniform(0, ceiling)
-        if asyncio.get_running_loop().time() + pause >= attempt.request.deadline:
-            raise failure
-        await asyncio.sleep(pause)
-
-    async def _send(
-        self, attempt: _Attempt, server: BackendServer, *, confirm: bool
-    ) -> ExecuteReply:
-        request = attempt.request
-        remaining = request.deadline - asyncio.get_running_loop().time()
-        if remaining <= 0:
-            raise NotRun(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed before sending")
-        work = WorkDetails(
-            pool=attempt.pool.name,
-            group=attempt.group.name,
-            server_id=server.id,
-            route=attempt.route.name,
-            rank=request.rank,
-            caller=request.caller,
-            remaining_ms=remaining * 1000,
-            accept_any=attempt.count >= ATTEMPTS_BEFORE_ACCEPT_ANY,
-        )
-        message = ExecuteMessage(
-            work=work,
-            exchange=Exchange(
-                request.statement,
-                read_only=request.access is Access.READ,
-                request_id=attempt.request_id,
-            ),
-            confirm=confirm,
-            durability=attempt.pool.durability,
-            required=attempt.required,
-        )
-        owner = self._topology.owner_of(server)
-        return await self._transport.request(
-            owner.address, message, ExecuteReply, timeout=remaining
-        )
-
-    def _answer(
-        self,
-        attempt: _Attempt,
-        server: BackendServer,
-        reply: ExecuteReply,
-        *,
-        from_replica: bool = False,
-    ) -> Answer:
-        attempt.group.note_position(server.id, reply.at)
+                failure = attempt.record(error)
+                await attempt.pause(self._budgets.pause(attempt.count), failure)
+
+    def _answer(self, attempt: RequestAttempt, answer: MemberAnswer) -> Answer:
+        reply = answer.reply
+        if attempt.request.access is Access.READ:
+            self._reads_done += 1
+            self._replica_reads += answer.from_replica
+        attempt.group.note_position(answer.server.id, reply.at)
+        # Only answers that were given advance the token: confirmed ones of a primary, and those of
+        # replicas that `Reads` has found to survive a failover.
         attempt.session.advance(attempt.group.name, reply.at)
+        aged = bool(attempt.request.max_age_ms) and answer.age_s is not None
         return Answer(
             rows=reply.rows,
             session=self._tokens.encode(attempt.session),
             request_id=attempt.request_id,
             repeated=reply.repeated,
-            served_by=server.id,
-            from_replica=from_replica,
+            served_by=answer.server.id,
+            from_replica=answer.from_replica,
+            age_ms=_milliseconds(answer.age_s) if aged else None,
         )
 
 
-def _after_earlier_attempt(error: WigeonpointError) -> OutcomeUnknown:
-    """A refusal of a later attempt says nothing about an earlier one that may have run."""
-    return OutcomeUnknown(
-        ResultCode.DEADLINE_EXCEEDED, f"{error.message}; an earlier attempt may have run"
-    )
+def _milliseconds(seconds: float | None) -> int:
+    """Rounds up, since the age is an upper bound."""
+    return -int(-(seconds or 0.0) * 1000 // 1)
--- a/src/wigeonpoint/process/_transaction_router.py
+++ b/src/wigeonpoint/process/_transaction_router.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from dataclasses import replace
 from typing import Any, TypeVar
 
 from wigeonpoint.backend import Exchange
@@ -22,12 +23,28 @@
     TransactionIds,
     WorkDetails,
 )
-from wigeonpoint.errors import InvalidRequest, NotRun, OutcomeUnknown, ResultCode
+from wigeonpoint.errors import (
+    InvalidRequest,
+    NotRun,
+    OutcomeUnknown,
+    ResultCode,
+    WigeonpointError,
+)
+from wigeonpoint.process._attempt import (
+    ATTEMPTS_BEFORE_ACCEPT_ANY,
+    RETRYABLE_CODES,
+    budget_exhausted,
+)
+from wigeonpoint.process._commit_resolution import CommitResolution
 from wigeonpoint.process._router import ConfigurationLookup
 from wigeonpoint.process._topology import Topology
-from wigeonpoint.request import Access, Answer, Rank, Statement
+from wigeonpoint.request import Access, Answer, Rank, RetryBudgets, Statement
+from wigeonpoint.version import GroupView
 
 REQUEST_ID_BYTES = 12
+COMMIT_SHARE = 0.5  # of the remaining time; the rest is for looking a lost answer up
+ROLLBACK_TIMEOUT_S = 0.1
+_OWNER_LOST = (ResultCode.PEER_UNREACHABLE, ResultCode.BACKEND_UNREACHABLE)
 
 ReplyT = TypeVar("ReplyT")
 
@@ -41,6 +58,7 @@
         tokens: Session tokens.
         ids: Transaction ids.
         configuration: Gives the configuration in force.
+        budgets: Retry budgets, shared with the single statements of the instance.
     """
 
     def __init__(
@@ -50,17 +68,21 @@
         tokens: SessionTokens,
         ids: TransactionIds,
         configuration: ConfigurationLookup,
+        *,
+        budgets: RetryBudgets | None = None,
     ) -> None:
         self._topology = topology
         self._transport = transport
         self._tokens = tokens
         self._ids = ids
         self._configuration = configuration
+        self._budgets = budgets or RetryBudgets()
+        self._resolution = CommitResolution(topology, transport, self._budgets)
 
     async def begin(
         self, route_name: str, *, rank: Rank, caller: str, deadline: float, session: str | None
     ) -> tuple[str, Answer]:
-        """Opens a transaction on the primary of the route's group.
+        """Opens a transaction on the primary of the route's group; retried while it did not run.
 
         Returns:
             The transaction id, and an answer with the session token to use in it.
@@ -68,20 +90,50 @@
         route, pool = self._configuration().resolve(route_name)
         known = self._tokens.decode(session)
         group = self._topology.group(pool.group)
+        budget = self._budgets.of(route.name)
+        budget.note_request()
+        count = 0
+        while True:
+            work = WorkDetails(
+                pool=pool.name,
+                group=group.name,
+                server_id="",
+                route=route.name,
+                rank=rank,
+                caller=caller,
+                remaining_ms=_remaining(deadline) * 1000,
+                accept_any=count >= ATTEMPTS_BEFORE_ACCEPT_ANY,
+            )
+            try:
+                transaction = await self._begin_once(work, group, known, deadline)
+            except WigeonpointError as error:
+                if error.code not in RETRYABLE_CODES:
+                    raise
+                count += 1
+                pause = self._budgets.pause(count)
+                if asyncio.get_running_loop().time() + pause >= deadline:
+                    raise
+                if not budget.take():
+                    raise budget_exhausted(error, route.name) from error
+                await asyncio.sleep(pause)
+                continue
+            return self._ids.encode(transaction), Answer(session=self._tokens.encode(known))
+
+    async def _begin_once(
+        self, work: WorkDetails, group: GroupView, known: Session, deadline: float
+    ) -> TransactionId:
         primary = await group.require_primary()
-        work = WorkDetails(
-            pool=pool.name,
-            group=group.name,
-            server_id=primary.id,
-            route=route.name,
-            rank=rank,
-            caller=caller,
-            remaining_ms=_remaining(deadline) * 1000,
-        )
         owner = self._topology.owner_of(primary)
-        reply = await self._send(owner.address, BeginMessage(work, known.id), BeginReply, deadline)
-        transaction = TransactionId(owner.address, reply.number, group.name, route.name)
-        return self._ids.encode(transaction), Answer(session=self._tokens.encode(known))
+        message = BeginMessage(replace(work, server_id=primary.id), known.id)
+        try:
+            reply = await self._send(owner.address, message, BeginReply, deadline)
+        except WigeonpointError as error:
+            if error.code in (ResultCode.NOT_PRIMARY, ResultCode.BACKEND_UNREACHABLE):
+                group.forget_primary(primary.id)
+            raise
+        return TransactionId(
+            owner.address, reply.number, group.name, work.route, reply.term, primary.id
+        )
 
     async def execute(
         self,
@@ -109,16 +161,42 @@
     ) -> Answer:
         """Commits a transaction and advances the session to the commit."""
         transaction, known = self._identify(transaction_id, session)
+        given = request_id is not None
         request_id = request_id or secrets.token_urlsafe(REQUEST_ID_BYTES)
         message = CommitMessage(
-            transaction.number, known.id, request_id, _remaining(deadline) * 1000
+            transaction.number, known.id, request_id, _remaining(deadline) * COMMIT_SHARE * 1000
         )
-        reply = await self._send(transaction.address, message, ExecuteReply, deadline)
+        try:
+            reply = await self._commit(transaction, message, deadline, given=given)
+        except OutcomeUnknown as error:
+            error.request_id = request_id
+            raise
         known.advance(transaction.group, reply.at)
         return Answer(
             session=self._tokens.encode(known), request_id=request_id, repeated=reply.repeated
         )
 
+    async def _commit(
+        self, transaction: TransactionId, message: CommitMessage, deadline: float, *, given: bool
+    ) -> ExecuteReply:
+        """Commits, and looks the recorded answer up when the owner's answer is lost."""
+        _, pool = self._configuration().resolve(transaction.route)
+        try:
+            return await self._transport.request(
+                transaction.address, message, ExecuteReply, timeout=message.remaining_ms / 1000
+            )
+        except OutcomeUnknown:
+            pass
+        except NotRun as error:
+            # The owner cannot be reached, so nothing was sent now; an earlier commit under an id
+            # that the caller gave may have taken effect all the same.
+            if not given:
+                raise _rolled_back(error.message) from error
+        except InvalidRequest as error:
+            if error.code != ResultCode.UNKNOWN_TRANSACTION or not given:
+                raise
+        return await self._resolution.resolve(transaction, pool, message.request_id, deadline)
+
     async def rollback(
         self, transaction_id: str, *, session: str | None, deadline: float
     ) -> Answer:
@@ -143,13 +221,35 @@
             return await self._transport.request(
                 address, message, reply_type, timeout=_remaining(deadline)
             )
-        except OutcomeUnknown:
-            if isinstance(message, CommitMessage):
+        except OutcomeUnknown as error:
+            if isinstance(message, BeginMessage):
+                # A transaction that was opened without the caller's knowledge holds no changes.
+                raise NotRun(
+                    ResultCode.PEER_UNREACHABLE, "the owner did not answer; begin again"
+                ) from error
+            if isinstance(message, StatementMessage):
+                await self._roll_back_lost(address, message)
+            raise _rolled_back("the answer to a statement was lost") from error
+        except NotRun as error:
+            if isinstance(message, BeginMessage) or error.code not in _OWNER_LOST:
                 raise
-            raise NotRun(
-                ResultCode.PEER_UNREACHABLE,
-                "the transaction's owner did not answer; it rolls the transaction back",
-            ) from None
+            raise _rolled_back(error.message) from error
+
+    async def _roll_back_lost(self, address: str, message: StatementMessage) -> None:
+        """Ends a transaction whose statement has no answer, so that it cannot be committed."""
+        rollback = RollbackMessage(message.number, message.session_id, ROLLBACK_TIMEOUT_S * 1000)
+        try:
+            await self._transport.request(
+                address, rollback, Acknowledgement, timeout=ROLLBACK_TIMEOUT_S
+            )
+        except WigeonpointError:
+            return  # closed connections and the idle timeout roll it back
+
+
+def _rolled_back(reason: str) -> NotRun:
+    return NotRun(
+        ResultCode.TRANSACTION_LOST, f"the transaction was rolled back; begin it again: {reason}"
+    )
 
 
 def _remaining(deadline: float) -> float:
--- /dev/null
+++ b/src/wigeonpoint/process/_work_sender.py
@@ -0,0 +1,110 @@
+"""Sends statements to the owners of backend servers, and cancels those that were given up."""
+
+from __future__ import annotations
+
+import itertools
+import secrets
+
+from wigeonpoint.backend import Exchange
+from wigeonpoint.connection import (
+    CancelMessage,
+    CancelReply,
+    ExecuteMessage,
+    ExecuteReply,
+    PeerTransport,
+    WorkDetails,
+)
+from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.process._attempt import RequestAttempt
+from wigeonpoint.process._topology import Topology
+from wigeonpoint.request import Access
+from wigeonpoint.version import BackendServer
+
+CANCEL_TIMEOUT_S = 0.1
+ATTEMPT_SHARE = 0.5  # of the remaining time, so that a lost answer leaves time to ask again
+REPLY_GRACE_S = 0.01  # the owner's own refusal at its deadline still arrives within this
+MESSAGE_PREFIX_BYTES = 6
+
+
+class WorkSender:
+    """Carries single statements to owners.
+
+    Args:
+        topology: Live instances and groups.
+        transport: Sends messages to owners.
+    """
+
+    def __init__(self, topology: Topology, transport: PeerTransport) -> None:
+        self._topology = topology
+        self._transport = transport
+        self._prefix = secrets.token_urlsafe(MESSAGE_PREFIX_BYTES)
+        self._numbers = itertools.count(1)
+        self._cancelled = 0
+
+    @property
+    def cancelled(self) -> int:
+        """Messages whose removal an owner has confirmed."""
+        return self._cancelled
+
+    async def send(
+        self, attempt: RequestAttempt, server: BackendServer, *, confirm: bool
+    ) -> ExecuteReply:
+        """Sends one attempt and waits for the owner's answer.
+
+        Raises:
+            WigeonpointError: The owner refused, or the outcome is unknown. A message that was
+                given up counts as not run only when the owner confirms its removal.
+        """
+        timeout = attempt.remaining * ATTEMPT_SHARE
+        message = self._message(attempt, server, timeout, confirm=confirm)
+        address = self._topology.owner_of(server).address
+        try:
+            return await self._transport.request(
+                address, message, ExecuteReply, timeout=timeout + REPLY_GRACE_S
+            )
+        except OutcomeUnknown as error:
+            if error.code == ResultCode.DEADLINE_EXCEEDED and await self._cancel(address, message):
+                raise NotRun(
+                    ResultCode.DEADLINE_UNREACHABLE,
+                    f"{server.id} did not get to the statement in time; it was removed",
+                ) from error
+            raise
+
+    async def _cancel(self, address: str, message: ExecuteMessage) -> bool:
+        try:
+            reply = await self._transport.request(
+                address,
+                CancelMessage(message.message_id),
+                CancelReply,
+                timeout=CANCEL_TIMEOUT_S,
+            )
+        except WigeonpointError:
+            return False
+        self._cancelled += reply.removed
+        return reply.removed
+
+    def _message(
+        self, attempt: RequestAttempt, server: BackendServer, timeout: float, *, confirm: bool
+    ) -> ExecuteMessage:
+        request = attempt.request
+        return ExecuteMessage(
+            work=WorkDetails(
+                pool=attempt.pool.name,
+                group=attempt.group.name,
+                server_id=server.id,
+                route=attempt.route.name,
+                rank=request.rank,
+                caller=request.caller,
+                remaining_ms=timeout * 1000,
+                accept_any=attempt.accept_any,
+            ),
+            exchange=Exchange(
+                request.statement,
+                read_only=request.access is Access.READ,
+                request_id=attempt.request_id,
+            ),
+            confirm=confirm,
+            durability=attempt.pool.durability,
+            required=attempt.required,
+            message_id=f"{self._prefix}-{next(self._numbers)}",
+        )
--- a/src/wigeonpoint/request/__init__.py
+++ b/src/wigeonpoint/request/__init__.py
@@ -10,6 +10,7 @@
     TransactionStatementBody,
     parse_body,
 )
+from wigeonpoint.request._retry_budget import RetryBudget, RetryBudgets
 from wigeonpoint.request._statement import Access, Rank, Statement, StatementRequest
 
 __all__ = [
@@ -18,6 +19,8 @@
     "BeginBody",
     "EndBody",
     "Rank",
+    "RetryBudget",
+    "RetryBudgets",
     "Statement",
     "StatementBody",
     "StatementRequest",
--- a/src/wigeonpoint/standins/_database.py
+++ b/src/wigeonpoint/standins/_database.py
@@ -198,11 +198,21 @@
     def begin(self) -> Workspace:
         """Opens a transaction."""
         self._require_primary()
-        return Workspace(self._data)
+        return Workspace(self._data, term=self._fenced_term)
+
+    def recorded(self, request_id: str) -> BackendAnswer:
+        """Gives the answer recorded under an id; `repeated` is false when there is none."""
+        self._require_primary()
+        record = self._records.get(request_id)
+        return self._answer(record.rows if record else [], repeated=record is not None)
 
     def commit(self, workspace: Workspace, request_id: str | None) -> BackendAnswer:
         """Commits a transaction unless data that it read has changed."""
         self._require_primary()
+        if workspace.term != self._fenced_term:
+            raise NotRun(
+                ResultCode.NOT_PRIMARY, f"the transaction of term {workspace.term} was rolled back"
+            )
         repeated = self._recorded(request_id, workspace.digest.hexdigest())
         if repeated is not None:
             return repeated
--- a/src/wigeonpoint/standins/_database_server.py
+++ b/src/wigeonpoint/standins/_database_server.py
@@ -82,7 +82,9 @@
             return await self.member.execute(self._workspace, _EXCHANGE.validate_python(body))
         if kind == "begin":
             self._workspace = self.member.begin()
-            return None
+            return self._workspace.term
+        if kind == "recorded":
+            return self.member.recorded(body)
         if kind == "commit":
             return self._commit(body)
         if kind == "rollback":
--- a/src/wigeonpoint/standins/_store.py
+++ b/src/wigeonpoint/standins/_store.py
@@ -46,8 +46,9 @@
 class Workspace:
     """Reads of committed data and buffered writes of one transaction."""
 
-    def __init__(self, committed: dict[str, Any]) -> None:
+    def __init__(self, committed: dict[str, Any], *, term: int = 0) -> None:
         self._committed = committed
+        self.term = term
         self.changes: dict[str, Any] = {}
         self.read_values: dict[str, Any] = {}
         self.digest = hashlib.sha256()
--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -10,6 +10,7 @@
     Route,
 )
 from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
+from wigeonpoint.version._containment import contains, is_abandoned
 from wigeonpoint.version._group import GroupView
 from wigeonpoint.version._servers import (
     BackendServer,
@@ -28,6 +29,8 @@
     "Pool",
     "RankTarget",
     "Route",
+    "contains",
+    "is_abandoned",
     "member_statuses",
     "owner_of",
     "rendezvous_weight",
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -114,10 +114,11 @@
                 await asyncio.sleep(min(timeout, 1.0))
                 raise NotRun(ResultCode.PEER_UNREACHABLE, f"cannot connect to {address}")
             await asyncio.sleep(DELAY_S)
+        # The receiver goes on when the sender gives up, as it does over a real channel.
+        work = asyncio.ensure_future(self._network.dispatchers[address].deliver(message))
+        work.add_done_callback(lambda task: task.cancelled() or task.exception())
         try:
-            reply: ReplyT = await asyncio.wait_for(
-                self._network.dispatchers[address].deliver(message), timeout
-            )
+            reply: ReplyT = await asyncio.wait_for(asyncio.shield(work), timeout)
         except TimeoutError as error:
             raise OutcomeUnknown(
                 ResultCode.DEADLINE_EXCEEDED, f"no answer from {address}"
@@ -177,18 +178,33 @@
     async def execute(self, exchange: Exchange, *, timeout: float) -> BackendAnswer:
         """Runs a statement."""
         answer: BackendAnswer = await self._call(
-            self._member.execute(self._workspace, exchange), timeout
+            lambda: self._member.execute(self._workspace, exchange), timeout
         )
         return answer
 
-    async def begin(self, *, timeout: float) -> None:
+    async def begin(self, *, timeout: float) -> int:
         """Opens a transaction."""
         self._workspace = self._member.begin()
+        return int(self._workspace.term)
+
+    async def recorded(self, request_id: str, *, timeout: float) -> BackendAnswer:
+        """Looks a request id up."""
+
+        async def look_up() -> BackendAnswer:
+            return self._member.recorded(request_id)
+
+        answer: BackendAnswer = await self._call(look_up, timeout)
+        return answer
 
     async def commit(self, request_id: str | None, *, timeout: float) -> BackendAnswer:
         """Commits the transaction."""
         workspace, self._workspace = self._workspace, None
-        return self._member.commit(workspace, request_id)
+
+        async def commit() -> BackendAnswer:
+            return self._member.commit(workspace, request_id)
+
+        answer: BackendAnswer = await self._call(commit, timeout)
+        return answer
 
     async def rollback(self, *, timeout: float) -> None:
         """Rolls the transaction back."""
@@ -204,7 +220,7 @@
     async def _call(self, work: Any, timeout: float) -> Any:
         try:
             await self._network.travel(self._data_centre, self._address, timeout)
-            answer = await asyncio.wait_for(work, timeout)
+            answer = await asyncio.wait_for(work(), timeout)
             await self._network.travel(self._data_centre, self._address, timeout)
             return answer
         except (TimeoutError, OutcomeUnknown) as error:
