--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field, replace
 from typing import Any, TypeVar
 
@@ -15,6 +16,8 @@
 
 DELAY_S = 0.0005
 
+Hook = Callable[[str, str, Any], Awaitable[None]]
+
 
 @dataclass(slots=True)
 class FakeNetwork:
@@ -26,6 +29,11 @@
         data_centres: Data centre of each address.
         cuts: Pairs of data centres that cannot reach each other.
         down: Addresses that do not answer.
+        lag: Seconds that replication messages to a member take longer.
+        on_message: Called with stage (`sent`, `answered`), address and peer message; it may wait,
+            or raise to lose the message or its answer.
+        on_exchange: The same for statement connections, with stage `before`, `during` (the server
+            goes on running) or `after`, address and call.
     """
 
     dispatchers: dict[str, PeerDispatcher] = field(default_factory=dict)
@@ -33,6 +41,9 @@
     data_centres: dict[str, str] = field(default_factory=dict)
     cuts: set[frozenset[str]] = field(default_factory=set)
     down: set[str] = field(default_factory=set)
+    lag: dict[str, float] = field(default_factory=dict)
+    on_message: Hook | None = None
+    on_exchange: Hook | None = None
 
     def cut(self, one: str, other: str) -> None:
         """Cuts two data centres off from each other."""
@@ -66,6 +77,7 @@
     async def append(self, address: str, message: AppendEntries) -> AppendReply:
         """Sends entries to a member."""
         await self._network.travel(self._data_centre, address, 1.0)
+        await asyncio.sleep(self._network.lag.get(address, 0.0))
         reply = self._network.members[address].append_entries(message)
         await self._network.travel(self._data_centre, address, 1.0)
         return reply
@@ -114,6 +126,9 @@
                 await asyncio.sleep(min(timeout, 1.0))
                 raise NotRun(ResultCode.PEER_UNREACHABLE, f"cannot connect to {address}")
             await asyncio.sleep(DELAY_S)
+        hook = self._network.on_message
+        if hook is not None:
+            await hook("sent", address, message)
         # The receiver goes on when the sender gives up, as it does over a real channel.
         work = asyncio.ensure_future(self._network.dispatchers[address].deliver(message))
         work.add_done_callback(lambda task: task.cancelled() or task.exception())
@@ -123,6 +138,8 @@
             raise OutcomeUnknown(
                 ResultCode.DEADLINE_EXCEEDED, f"no answer from {address}"
             ) from error
+        if hook is not None:
+            await hook("answered", address, message)
         if address != self._address:
             await self._network.travel(own, address, timeout)
         return reply
@@ -178,7 +195,7 @@
     async def execute(self, exchange: Exchange, *, timeout: float) -> BackendAnswer:
         """Runs a statement."""
         answer: BackendAnswer = await self._call(
-            lambda: self._member.execute(self._workspace, exchange), timeout
+            "execute", lambda: self._member.execute(self._workspace, exchange), timeout
         )
         return answer
 
@@ -193,7 +210,7 @@
         async def look_up() -> BackendAnswer:
             return self._member.recorded(request_id)
 
-        answer: BackendAnswer = await self._call(look_up, timeout)
+        answer: BackendAnswer = await self._call("recorded", look_up, timeout)
         return answer
 
     async def commit(self, request_id: str | None, *, timeout: float) -> BackendAnswer:
@@ -203,7 +220,7 @@
         async def commit() -> BackendAnswer:
             return self._member.commit(workspace, request_id)
 
-        answer: BackendAnswer = await self._call(commit, timeout)
+        answer: BackendAnswer = await self._call("commit", commit, timeout)
         return answer
 
     async def rollback(self, *, timeout: float) -> None:
@@ -217,10 +234,15 @@
             self._workspace = None
             self._member.connections -= 1
 
-    async def _call(self, work: Any, timeout: float) -> Any:
+    async def _call(self, kind: str, work: Any, timeout: float) -> Any:
         try:
+            await self._reach("before", kind)
             await self._network.travel(self._data_centre, self._address, timeout)
-            answer = await asyncio.wait_for(work(), timeout)
+            running = asyncio.ensure_future(work())
+            running.add_done_callback(lambda task: task.cancelled() or task.exception())
+            await self._reach("during", kind)
+            answer = await asyncio.wait_for(asyncio.shield(running), timeout)
+            await self._reach("after", kind)
             await self._network.travel(self._data_centre, self._address, timeout)
             return answer
         except (TimeoutError, OutcomeUnknown) as error:
@@ -229,6 +251,10 @@
                 ResultCode.CONNECTION_LOST, f"connection to {self._address} was lost"
             ) from error
 
+    async def _reach(self, stage: str, kind: str) -> None:
+        if self._network.on_exchange is not None:
+            await self._network.on_exchange(stage, self._address, kind)
+
 
 class FakeBackend:
     """Backend of the instances of one data centre over the fake network."""
--- /dev/null
+++ b/tests/test_reads.py
@@ -0,0 +1,173 @@
+"""Which members answer reads, and what proves that their data is new enough."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterator
+
+import pytest
+
+from tests.entries import SEED, Fleet
+from wigeonpoint.backend import LogPosition
+from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
+from wigeonpoint.process._position_samples import PositionSample, PositionSamples
+from wigeonpoint.version import Durability, GroupView
+
+pytestmark = pytest.mark.looptime
+
+
+@pytest.fixture
+async def fleet() -> Iterator[Fleet]:
+    """Three data centres; writes need only the primary, so that replicas may be far behind."""
+    fleet = Fleet.build(durability=Durability.PRIMARY)
+    yield fleet
+    fleet.close()
+
+
+def lag_replicas(fleet: Fleet, *seconds: float) -> None:
+    for index, lag in enumerate(seconds, start=1):
+        fleet.network.lag[f"plans-{index}"] = lag
+
+
+class TestSessionReads:
+    """Reads of a session, on any instance."""
+
+    async def test_own_write_is_read_while_replicas_are_far_behind(self, fleet: Fleet) -> None:
+        """Guards against a replica 5 s behind that hides a session's own write."""
+        lag_replicas(fleet, 5.0, 5.0)
+        session = None
+        for number in range(20):
+            writer, reader = fleet.entries[number % 3], fleet.entries[(number + 1) % 3]
+            session = (await writer.write(f"PUT a v{number}", session=session)).session
+            answer = await reader.run("GET a", session=session)
+            assert (answer.rows, answer.from_replica) == ([f"v{number}"], False)
+
+    async def test_reads_of_a_session_never_go_back(self, fleet: Fleet) -> None:
+        """Guards against a later read at a replica that is behind the one read before."""
+        lag_replicas(fleet, 0.0, 0.3)
+        source = random.Random(SEED)
+
+        async def write() -> None:
+            for _ in range(300):
+                await fleet.entries[0].write("ADD n 1")
+
+        writer = asyncio.create_task(write())
+        await asyncio.sleep(0.1)
+        session, last, replicas = (await fleet.entries[0].run("GET n")).session, 0, 0
+        while not writer.done():
+            answer = await source.choice(fleet.entries).run("GET n", session=session)
+            assert answer.rows[0] >= last
+            session, last = answer.session, answer.rows[0]
+            replicas += answer.from_replica
+            await asyncio.sleep(source.uniform(0, 0.01))
+        assert replicas > 0
+
+    async def test_replica_slightly_behind_is_waited_for(self, fleet: Fleet) -> None:
+        """Guards against a read that goes to the primary though a replica is 10 ms behind."""
+        lag_replicas(fleet, 0.01, 0.01)
+        written = await fleet.entries[1].write("PUT a 1")
+        answer = await fleet.entries[1].run("GET a", session=written.session)
+        assert (answer.rows, answer.from_replica) == (["1"], True)
+
+    async def test_position_that_no_log_holds_is_lost(self, fleet: Fleet) -> None:
+        """Guards against older data after a failover dropped what the session has read."""
+        lag_replicas(fleet, 60.0, 60.0)
+        for number in range(5):
+            session = (await fleet.entries[0].write(f"PUT a {number}")).session
+        fleet.network.down.add("plans-0")
+        await fleet.promote(1, term=2)
+        with pytest.raises(OutcomeUnknown) as raised:
+            await fleet.entries[1].run("GET a", session=session)
+        assert raised.value.code is ResultCode.POSITION_LOST
+
+    async def test_replaced_primary_does_not_answer_as_a_replica(self, fleet: Fleet) -> None:
+        """Guards against unconfirmed data of a primary that was replaced and does not know."""
+        entry = fleet.entries[0]
+        session = (await entry.write("PUT a old")).session
+        await asyncio.sleep(0.1)
+        fleet.network.cut("chur", "sargans")
+        fleet.network.cut("chur", "gallen")
+        with pytest.raises(OutcomeUnknown):
+            await entry.write("PUT a lost", deadline=0.5)
+        for index in (1, 2):
+            fleet.network.members[f"plans-{index}"].fence(2)
+        fleet.network.members["plans-1"].promote(2)
+        entry.topology.group("plans").note_primary("plans-1", 2)
+        with pytest.raises((NotRun, OutcomeUnknown)):
+            await entry.run("GET a", session=session, deadline=1.0)
+
+
+class TestAgedReads:
+    """Reads with a stated age."""
+
+    async def test_replica_answers_within_the_age(self, fleet: Fleet) -> None:
+        """Guards against aged reads that all go to the primary, and against a wrong age."""
+        lag_replicas(fleet, 0.2, 0.2)
+        loop = asyncio.get_running_loop()
+        written: list[tuple[float, int]] = [(loop.time(), 0)]
+        replicas = 0
+        for number in range(1, 200):
+            await fleet.entries[0].write(f"PUT n {number}")
+            written.append((loop.time(), number))
+            answer = await fleet.entries[1].run("GET n", max_age_ms=1000)
+            value = int(answer.rows[0]) if answer.rows else 0
+            oldest_allowed = max(n for at, n in written if at <= loop.time() - 1.0 or n == 0)
+            assert value >= oldest_allowed and answer.age_ms <= 1000
+            newer = [at for at, n in written if n > value]
+            assert not newer or (loop.time() - newer[0]) * 1000 <= answer.age_ms + 5
+            replicas += answer.from_replica
+            await asyncio.sleep(0.01)
+        assert replicas > 150
+
+    async def test_replicas_too_far_behind_leave_the_read_to_the_primary(
+        self, fleet: Fleet
+    ) -> None:
+        """Guards against a replica's answer that is older than stated."""
+        lag_replicas(fleet, 5.0, 5.0)
+        for number in range(40):
+            await fleet.entries[0].write(f"PUT n {number}")
+            answer = await fleet.entries[1].run("GET n", max_age_ms=300)
+            assert (answer.rows, answer.from_replica) == ([str(number)], False)
+
+    async def test_cut_off_data_centre_serves_while_it_can_prove_the_age(
+        self, fleet: Fleet
+    ) -> None:
+        """Guards against an outage, and against answers without proof, during a partition."""
+        entry = fleet.entries[1]
+        await fleet.entries[0].write("PUT a 1")
+        await entry.run("GET a", max_age_ms=3000)
+        fleet.network.cut("chur", "sargans")
+        fleet.network.cut("sargans", "gallen")
+        await asyncio.sleep(1.0)
+        answer = await entry.run("GET a", max_age_ms=3000)
+        assert answer.from_replica and 1000 <= answer.age_ms <= 3000
+        await asyncio.sleep(3.0)
+        with pytest.raises(NotRun) as raised:
+            await entry.run("GET a", max_age_ms=3000)
+        assert raised.value.code is ResultCode.AGE_NOT_PROVABLE
+
+    async def test_concurrent_reads_share_samples(self, fleet: Fleet) -> None:
+        """Guards against one sample message for each aged read."""
+        reads = (fleet.entries[1].run("GET a", max_age_ms=1000) for _ in range(100))
+        await asyncio.gather(*reads)
+        assert fleet.entries[1].router.samples_taken <= 2
+
+
+class TestPositionSamples:
+    """What samples prove."""
+
+    def test_sample_of_a_later_term_proves_nothing_for_an_earlier_one(self) -> None:
+        """Guards against a proof by position alone for a log of a replaced primary."""
+        samples = PositionSamples(GroupView("plans", [], None))  # type: ignore[arg-type]
+        samples.add(PositionSample(10.0, LogPosition(2, 5)))
+        assert samples.age(LogPosition(1, 9), 11.0) is None
+        assert samples.age(LogPosition(2, 5), 11.0) == 1.0
+
+    def test_only_positions_of_a_majority_are_confirmed(self) -> None:
+        """Guards against a session that requires a position which a failover can lose."""
+        samples = PositionSamples(GroupView("plans", [], None))  # type: ignore[arg-type]
+        samples.add(PositionSample(10.0, LogPosition(1, 9)))
+        assert not samples.is_confirmed(LogPosition(1, 5))
+        samples.add(PositionSample(11.0, LogPosition(1, 9), majority=True))
+        assert samples.is_confirmed(LogPosition(1, 5))
