--- /dev/null
+++ b/tests/test_outcomes.py
@@ -0,0 +1,315 @@
+"""Outcomes of writes whose messages, answers or servers are lost, and the limits of retries."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from tests.entries import Fleet
+from wigeonpoint.connection import CancelMessage, CancelReply, ExecuteMessage, RecordedMessage
+from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.process._work_sender import WorkSender
+from wigeonpoint.request import RetryBudget
+from wigeonpoint.request._retry_budget import RETRY_BURST
+from wigeonpoint.standins import MemberOptions
+
+pytestmark = pytest.mark.looptime
+
+
+@pytest.fixture
+async def fleet() -> Iterator[Fleet]:
+    """Three data centres with one instance and one member each."""
+    fleet = Fleet.build()
+    yield fleet
+    fleet.close()
+
+
+class TestLostConnections:
+    """A connection to the primary that drops around a write."""
+
+    @pytest.mark.parametrize("stage", ["before", "during", "after"])
+    async def test_write_runs_once(self, fleet: Fleet, stage: str) -> None:
+        """Guards against a write that is lost, or run twice, when its connection drops."""
+        dropped = fleet.lose(stage, "execute")
+        answer = await fleet.entries[1].write("ADD n 1")
+        assert (dropped, answer.rows) == (["plans-0"], [1])
+        assert fleet.executions("n") == 1
+        assert answer.request_id is not None
+
+    async def test_answer_lost_between_instances(self, fleet: Fleet) -> None:
+        """Guards against a second run when the owner disappears after the write ran."""
+        lost: list[str] = []
+
+        async def hook(stage: str, address: str, message: Any) -> None:
+            if stage == "answered" and isinstance(message, ExecuteMessage) and not lost:
+                lost.append(address)
+                raise OutcomeUnknown(ResultCode.CONNECTION_LOST, "the owner disappeared")
+
+        fleet.network.on_message = hook
+        answer = await fleet.entries[1].write("ADD n 1")
+        assert (answer.rows, answer.repeated, fleet.executions("n")) == ([1], True, 1)
+
+    async def test_owner_that_stays_away_leaves_the_outcome_unknown(self, fleet: Fleet) -> None:
+        """Guards against "not run" for a write that ran, and an answer without its id."""
+
+        async def hook(stage: str, address: str, message: Any) -> None:
+            if stage == "answered":
+                fleet.network.down.add("i-chur")
+                raise OutcomeUnknown(ResultCode.CONNECTION_LOST, "the owner disappeared")
+
+        fleet.network.on_message = hook
+        with pytest.raises(OutcomeUnknown) as raised:
+            await fleet.entries[1].write("ADD n 1", deadline=3.0)
+        fleet.network.on_message = None
+        fleet.network.down.clear()
+        request_id = raised.value.request_id
+        answer = await fleet.entries[2].write("ADD n 1", request_id=request_id)
+        assert (answer.rows, answer.repeated, fleet.executions("n")) == ([1], True, 1)
+
+
+class TestRepeatedIds:
+    """The same request id more than once."""
+
+    async def test_two_instances_at_once(self, fleet: Fleet) -> None:
+        """Guards against two runs of one id that arrive while the first still runs."""
+        fleet.network.members["plans-0"].options.statement_ms = 50
+        answers = await asyncio.gather(
+            *(entry.write("ADD n 1", request_id="r-1") for entry in fleet.entries)
+        )
+        assert [answer.rows for answer in answers] == [[1]] * 3
+        assert sorted(answer.repeated for answer in answers) == [False, True, True]
+        assert fleet.executions("n") == 1
+
+    async def test_after_a_change_of_primary(self, fleet: Fleet) -> None:
+        """Guards against an id that the new primary does not know."""
+        await fleet.entries[0].write("ADD n 1", request_id="r-1")
+        await asyncio.sleep(0.1)
+        fleet.network.down.add("plans-0")
+        await fleet.promote(1, term=2)
+        answer = await fleet.entries[2].write("ADD n 1", request_id="r-1", deadline=5.0)
+        assert (answer.rows, answer.repeated) == ([1], True)
+
+    async def test_unconfirmed_write_of_a_cut_off_primary_runs_on_the_new_one(
+        self, fleet: Fleet
+    ) -> None:
+        """Guards against a write that is acknowledged on a log which is abandoned."""
+        await fleet.entries[1].write("PUT a 1")
+        await asyncio.sleep(0.1)
+        fleet.network.cut("chur", "sargans")
+        fleet.network.cut("chur", "gallen")
+        with pytest.raises(OutcomeUnknown):
+            await fleet.entries[0].write("ADD n 1", request_id="r-1", deadline=1.0)
+        for index in (1, 2):
+            fleet.network.members[f"plans-{index}"].fence(2)
+        fleet.network.members["plans-1"].promote(2)
+        answer = await fleet.entries[2].write("ADD n 1", request_id="r-1", deadline=5.0)
+        fleet.network.heal()
+        await asyncio.sleep(1.0)
+        assert (answer.rows, answer.repeated, fleet.executions("n")) == ([1], False, 1)
+        assert all(member.data["n"] == 1 for member in fleet.network.members.values())
+
+
+class TestNotRun:
+    """Requests that are reported as not run."""
+
+    async def test_refused_requests_never_run(self, fleet: Fleet) -> None:
+        """Guards against "not run" for requests that ran, under overload and a dead primary."""
+        outcomes: dict[str, WigeonpointError | None] = {}
+
+        async def write(number: int) -> None:
+            key = f"k{number}"
+            try:
+                await fleet.entries[number % 3].write(f"ADD {key} 1", deadline=0.05)
+                outcomes[key] = None
+            except WigeonpointError as error:
+                outcomes[key] = error
+
+        first = [asyncio.create_task(write(number)) for number in range(200)]
+        await asyncio.sleep(0.02)
+        fleet.network.down.add("i-chur")
+        await asyncio.gather(*first, *(write(number) for number in range(200, 260)))
+        fleet.network.down.clear()
+        await asyncio.sleep(1.0)
+        refused = [key for key, error in outcomes.items() if isinstance(error, NotRun)]
+        done = [key for key, error in outcomes.items() if error is None]
+        assert refused and done
+        assert [key for key in refused if fleet.executions(key)] == []
+        assert all(fleet.executions(key) == 1 for key in done)
+
+    @pytest.mark.parametrize("removed", [True, False])
+    async def test_only_a_confirmed_removal_counts(self, fleet: Fleet, removed: bool) -> None:
+        """Guards against "not run" for a message that was given up but may still run."""
+        cancelled: list[str] = []
+
+        async def cancel(message: CancelMessage) -> CancelReply:
+            cancelled.append(message.message_id)
+            return CancelReply(removed)
+
+        async def never(message: ExecuteMessage) -> None:
+            await asyncio.sleep(60)
+
+        owner = fleet.entries[0].dispatcher
+        owner.register(CancelMessage, cancel)
+        owner.register(ExecuteMessage, never)
+        with pytest.raises(NotRun if removed else OutcomeUnknown) as raised:
+            await fleet.entries[1].write("ADD n 1", deadline=0.3)
+        assert cancelled
+        assert (raised.value.request_id is None) is removed
+
+
+class TestRetryBudget:
+    """How often a request may be tried."""
+
+    async def test_attempts_are_limited_in_an_outage(
+        self, fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against retries that multiply the load while every attempt fails."""
+        sent = 0
+
+        async def refuse(*args: Any, **options: Any) -> None:
+            nonlocal sent
+            sent += 1
+            raise NotRun(ResultCode.CONNECTION_LIMIT, "the server is full")
+
+        monkeypatch.setattr(WorkSender, "send", refuse)
+        entry = fleet.entries[0]
+        results = await asyncio.gather(
+            *(entry.write("ADD n 1", deadline=2.0) for _ in range(500)), return_exceptions=True
+        )
+        codes = {result.code for result in results if isinstance(result, WigeonpointError)}
+        assert ResultCode.RETRY_BUDGET_EXHAUSTED in codes
+        assert all(isinstance(result, NotRun) for result in results)
+        assert 500 < sent <= 500 + RETRY_BURST + 500 * 0.1 + 2 * 3
+        assert entry.router.budgets.retries == sent - 500
+
+    async def test_quiet_route_may_retry(self) -> None:
+        """Guards against a route with little traffic that can never retry."""
+        budget = RetryBudget("closures")
+        while budget.take():
+            pass
+        await asyncio.sleep(1.0)
+        assert [budget.take() for _ in range(5)] == [True, True, True, False, False]
+
+
+class TestTransactions:
+    """Transactions whose connection, owner or answers are lost."""
+
+    @pytest.mark.parametrize("stage", ["before", "during", "after"])
+    async def test_lost_answer_to_a_commit(self, fleet: Fleet, stage: str) -> None:
+        """Guards against a commit whose effect is reported wrongly."""
+        transaction, begun = await fleet.entries[1].begin()
+        await fleet.entries[2].put(transaction, "ADD n 1", begun.session)
+        fleet.lose(stage, "commit")
+        try:
+            answer = await fleet.entries[1].commit(transaction, begun.session)
+        except OutcomeUnknown as error:
+            assert stage == "before" and error.request_id
+            assert fleet.executions("n") == 0
+        else:
+            assert stage != "before" and answer.repeated
+            assert fleet.executions("n") == 1
+
+    async def test_commit_that_a_later_term_does_not_hold(self, fleet: Fleet) -> None:
+        """Guards against an unknown outcome when the new primary proves that nothing committed."""
+        transaction, begun = await fleet.entries[1].begin()
+        await fleet.entries[1].put(transaction, "ADD n 1", begun.session)
+        fleet.network.down.add("plans-0")
+        fleet.network.members["plans-0"].fence(2)
+        await fleet.promote(1, term=2)
+        with pytest.raises(NotRun) as raised:
+            await fleet.entries[2].commit(transaction, begun.session)
+        assert raised.value.code is ResultCode.TRANSACTION_LOST
+
+    async def test_absence_in_the_same_term_proves_nothing(self, fleet: Fleet) -> None:
+        """Guards against "not run" while the commit is still on its way to the server."""
+        transaction, begun = await fleet.entries[1].begin()
+        await fleet.entries[1].put(transaction, "ADD n 1", begun.session)
+        looked_up: list[str] = []
+
+        async def hook(stage: str, address: str, message: Any) -> None:
+            if isinstance(message, RecordedMessage):
+                looked_up.append(address)
+
+        async def delay(stage: str, address: str, kind: str) -> None:
+            if (stage, kind) == ("before", "commit"):
+                await asyncio.sleep(6.0)
+
+        fleet.network.on_message, fleet.network.on_exchange = hook, delay
+        with pytest.raises(OutcomeUnknown) as raised:
+            await fleet.entries[1].commit(transaction, begun.session)
+        await asyncio.sleep(6.0)
+        assert looked_up and raised.value.request_id
+
+    async def test_repeated_commit_gets_the_recorded_answer(self, fleet: Fleet) -> None:
+        """Guards against a caller that repeats a commit and is told that it is unknown."""
+        transaction, begun = await fleet.entries[1].begin()
+        await fleet.entries[1].put(transaction, "ADD n 1", begun.session)
+        await fleet.entries[1].commit(transaction, begun.session, "c-1")
+        again = await fleet.entries[2].commit(transaction, begun.session, "c-1")
+        assert again.repeated and fleet.executions("n") == 1
+
+    @pytest.mark.parametrize("stage", ["before", "during", "after"])
+    async def test_lost_statement_ends_the_transaction(self, fleet: Fleet, stage: str) -> None:
+        """Guards against a commit without a statement whose answer was lost."""
+        transaction, begun = await fleet.entries[1].begin()
+        await fleet.entries[1].put(transaction, "ADD n 1", begun.session)
+        fleet.lose(stage, "execute")
+        with pytest.raises(NotRun) as raised:
+            await fleet.entries[1].put(transaction, "ADD m 1", begun.session)
+        assert raised.value.code is ResultCode.TRANSACTION_LOST
+        with pytest.raises(WigeonpointError):
+            await fleet.entries[1].commit(transaction, begun.session)
+        assert (fleet.executions("n"), fleet.executions("m")) == (0, 0)
+
+    async def test_answer_lost_between_instances_rolls_back(self, fleet: Fleet) -> None:
+        """Guards against a transaction that stays open after its caller was told otherwise."""
+        transaction, begun = await fleet.entries[1].begin()
+
+        async def hook(stage: str, address: str, message: Any) -> None:
+            if stage == "answered":
+                fleet.network.on_message = None
+                raise OutcomeUnknown(ResultCode.CONNECTION_LOST, "lost")
+
+        fleet.network.on_message = hook
+        with pytest.raises(NotRun):
+            await fleet.entries[1].put(transaction, "ADD n 1", begun.session)
+        assert fleet.entries[0].owners.open_transactions == 0
+
+    async def test_other_session_is_refused(self, fleet: Fleet) -> None:
+        """Guards against a transaction that another session can write to or commit."""
+        transaction, _ = await fleet.entries[1].begin()
+        _, other = await fleet.entries[1].begin()
+        for entry in fleet.entries:
+            with pytest.raises(WigeonpointError) as raised:
+                await entry.put(transaction, "ADD n 1", other.session)
+            assert raised.value.code is ResultCode.FOREIGN_TRANSACTION
+            with pytest.raises(WigeonpointError) as raised:
+                await entry.commit(transaction, other.session, "c-2")
+            assert raised.value.code is ResultCode.FOREIGN_TRANSACTION
+
+    async def test_begin_is_retried_on_the_new_primary(self, fleet: Fleet) -> None:
+        """Guards against a begin that fails although it did not run and a primary exists."""
+        await fleet.entries[1].write("PUT a 1")
+        await asyncio.sleep(0.1)
+        await fleet.promote(1, term=2)
+        transaction, begun = await fleet.entries[1].begin()
+        await fleet.entries[1].put(transaction, "ADD n 1", begun.session)
+        await fleet.entries[1].commit(transaction, begun.session)
+        assert fleet.executions("n") == 1
+
+
+class TestConnectionLimits:
+    """Connections after lost answers."""
+
+    async def test_lost_connections_are_given_back(self) -> None:
+        """Guards against a pool that counts closed connections until none is left."""
+        fleet = Fleet.build(options=MemberOptions(connection_limit=2))
+        for _ in range(6):
+            fleet.lose("during", "execute")
+            await fleet.entries[1].write("ADD n 1")
+            await asyncio.sleep(1.0)
+        assert fleet.executions("n") == 6
+        fleet.close()
