--- a/src/wigeonpoint/process/_reads.py
+++ b/src/wigeonpoint/process/_reads.py
@@ -112,7 +112,7 @@
         tried = 0
         for server in self._choice.replicas(attempt.group):
             now = asyncio.get_running_loop().time()
-            if tried < REPLICAS_TRIED and self._choice.recent_age(server.id, now) <= max_age_s:
+            if tried < REPLICAS_TRIED and self._may_prove(attempt, server, max_age_s, now):
                 tried += 1
                 answer = await self._read_replica_aged(attempt, server, max_age_s)
                 if answer is not None:
@@ -129,12 +129,27 @@
             raise _age_not_provable(attempt, "the primary's answer took longer than the age")
         return answer
 
+    def _may_prove(
+        self, attempt: RequestAttempt, server: BackendServer, max_age_s: float, now: float
+    ) -> bool:
+        """Whether a replica seems new enough; statements that it runs in vain take its slots."""
+        if self._choice.recent_age(server.id, now) > max_age_s:
+            return False
+        required = attempt.required
+        return (
+            required is None
+            or self._choice.ready_at(server.id, attempt.group, required, now) <= now
+        )
+
     async def _read_replica_aged(
         self, attempt: RequestAttempt, server: BackendServer, max_age_s: float
     ) -> MemberAnswer | None:
         try:
             reply = await self._read_replica(attempt, server)
-        except (NotRun, OutcomeUnknown):
+        except (NotRun, OutcomeUnknown) as error:
+            if error.code == ResultCode.MEMBER_BEHIND and attempt.required is not None:
+                now = asyncio.get_running_loop().time()
+                self._choice.note_behind(server.id, attempt.group, attempt.required, now)
             return None
         now = asyncio.get_running_loop().time()
         age = self._sampler.samples(attempt.group).age(reply.at, now)
