--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from wigeonpoint.backend import Backend
 from wigeonpoint.connection import (
     TRANSACTION_IDLE_TIMEOUT_S,
@@ -25,6 +27,7 @@
 from wigeonpoint.process._directory_feed import DirectoryFeed
 from wigeonpoint.process._drain import Drain
 from wigeonpoint.process._owner_service import OwnerService
+from wigeonpoint.process._position_samples import PositionSampleService
 from wigeonpoint.process._request_recorder import RequestRecorder
 from wigeonpoint.process._router import Router
 from wigeonpoint.process._settings import Settings
@@ -45,6 +48,7 @@
         backend: Access to backend servers.
         transport: Sends messages to instances.
         dispatcher: Receives the handlers of messages from instances.
+        source: Source of jitter and random choices; tests pass a seeded one.
     """
 
     def __init__(
@@ -56,6 +60,7 @@
         backend: Backend,
         transport: PeerTransport,
         dispatcher: PeerDispatcher,
+        source: random.Random | None = None,
     ) -> None:
         self.settings = settings
         self.record = record
@@ -99,12 +104,18 @@
         announcer.register(dispatcher)
         records = GroupRecords(platform.tables)
         self.watcher = Watcher(self.topology, records, backend, self._detector(), announcer)
+        PositionSampleService(self.topology, backend).register(dispatcher)
         keys = settings.session_keys
         tokens = SessionTokens(TokenSigner(keys.keys, keys.active, purpose="session"))
         ids = TransactionIds(TokenSigner(keys.keys, keys.active, purpose="transaction"))
-        self.router = Router(self.topology, transport, tokens, self._configuration)
+        self.router = Router(self.topology, transport, tokens, self._configuration, source=source)
         self.transactions = TransactionRouter(
-            self.topology, transport, tokens, ids, self._configuration
+            self.topology,
+            transport,
+            tokens,
+            ids,
+            self._configuration,
+            budgets=self.router.budgets,
         )
 
     @property
@@ -137,6 +148,7 @@
         self.feed.close()
         self.directory_feed.close()
         self.watcher.close()
+        self.router.close()
         self.owners.close()
         self.transport.close()
         self.topology.close()
--- a/src/wigeonpoint/process/_owner.py
+++ b/src/wigeonpoint/process/_owner.py
@@ -13,6 +13,7 @@
     ExecuteMessage,
     ExecuteReply,
     OpenTransaction,
+    RecordedMessage,
     Transactions,
     WorkDetails,
 )
@@ -83,6 +84,17 @@
             )
         return ExecuteReply(answer.rows, answer.term, answer.position, answer.repeated)
 
+    async def recorded(self, message: RecordedMessage) -> BackendAnswer:
+        """Looks a request id up and has the answer, also that of absence, confirmed."""
+        deadline = _deadline(message.work)
+        connection = await self._pool.acquire(deadline=deadline)
+        try:
+            answer = await connection.recorded(message.request_id, timeout=_remaining(deadline))
+        finally:
+            self._pool.release(connection)
+        await self.confirm(answer.at, Durability.MAJORITY, deadline)
+        return answer
+
     async def begin(self, message: BeginMessage, transactions: Transactions) -> OpenTransaction:
         """Opens a transaction on a connection of its own."""
         deadline = _deadline(message.work)
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -16,6 +16,7 @@
     ExecuteMessage,
     ExecuteReply,
     PeerDispatcher,
+    RecordedMessage,
     RollbackMessage,
     StatementMessage,
     Transactions,
@@ -76,6 +77,7 @@
         dispatcher.register(StatementMessage, self.execute_in_transaction)
         dispatcher.register(CommitMessage, self.commit)
         dispatcher.register(RollbackMessage, self.rollback)
+        dispatcher.register(RecordedMessage, self.recorded)
 
     async def execute(self, message: ExecuteMessage) -> ExecuteReply:
         """Runs one statement."""
@@ -89,7 +91,7 @@
         owned = await self._owned_server(message.work)
         with self._use(owned):
             transaction = await owned.begin(message, self._transactions)
-        return BeginReply(transaction.number)
+        return BeginReply(transaction.number, transaction.term)
 
     async def execute_in_transaction(self, message: StatementMessage) -> ExecuteReply:
         """Runs a statement of an open transaction; its rows are provisional until the commit."""
@@ -119,6 +121,13 @@
         await self._transactions.rollback(transaction, timeout=message.remaining_ms / 1000)
         return Acknowledgement()
 
+    async def recorded(self, message: RecordedMessage) -> ExecuteReply:
+        """Looks a request id up; `repeated` is false when the confirmed log does not hold it."""
+        owned = await self._owned_server(message.work)
+        with self._use(owned):
+            answer = await owned.recorded(message)
+        return ExecuteReply(answer.rows, answer.term, answer.position, answer.repeated)
+
     def close(self) -> None:
         """Rolls open transactions back and closes idle connections."""
         self._handover.close()
