Queue work at the owner of a backend server by rank

Cause: the owner used a plain semaphore, so a bulk backlog went ahead of urgent work, and a refused connection failed the request at once.

Change: RankQueue with three schedules (ranked, first-in-first-out, strict priority), bounds, early refusal, cancellation by message id and an adaptive limit for servers that state no slots. The connection pool retries refused connections until the deadline, closes idle ones, opens one ahead while the queue waits, and keeps a quarter of the connections from transactions.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -21,6 +21,9 @@
     INSTANCE_STOPPED = (102, logging.INFO, "instance stopped")
     INTERNAL_ERROR = (103, logging.ERROR, "unexpected error")
 
+    QUEUE_FULL = (500, logging.WARNING, "owner queue is full; refusing its heaviest caller")
+    CONNECTION_REFUSED = (501, logging.WARNING, "backend server refused a connection; retrying")
+
     def __init__(self, number: int, level: int, sentence: str) -> None:
         self.number = number
         self.level = level
--- a/src/wigeonpoint/connection/_backend_pool.py
+++ b/src/wigeonpoint/connection/_backend_pool.py
@@ -3,12 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import deque
 
 from wigeonpoint.backend import Backend, BackendConnection
 from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.events import Event, log_event
 
-REFUSED_PAUSE_S = 0.05
+REFUSED_PAUSE_S = 0.05  # first upper bound of the pause after a refused connection
+MAX_REFUSED_PAUSE_S = 0.5
+IDLE_LIFETIME_S = 30.0
+TRIM_INTERVAL_S = 10.0
+OPEN_AHEAD_TIMEOUT_S = 1.0
+MIN_TIMEOUT_S = 0.001
+PINNED_PART = 0.75  # transactions must leave connections for single statements
 
 
 class BackendPool:
@@ -18,21 +26,55 @@
         backend: Access to the backend server.
         address: `host:port` of the backend server.
         limit: Connections that may be open at the same time.
+        keep: Idle connections that are kept however long they are unused.
     """
 
-    def __init__(self, backend: Backend, address: str, *, limit: int) -> None:
+    def __init__(self, backend: Backend, address: str, *, limit: int, keep: int = 1) -> None:
         self._backend = backend
         self._address = address
         self._limit = limit
-        self._idle: list[BackendConnection] = []
+        self._keep = keep
+        self._idle: deque[tuple[BackendConnection, float]] = deque()  # oldest use first
         self._open = 0
+        self._pinned: set[BackendConnection] = set()
+        self._pinning = 0
         self._waiting: deque[asyncio.Future[None]] = deque()
+        self._ahead: set[asyncio.Task[None]] = set()
+        self._trim: asyncio.TimerHandle | None = None
+        self._opened = 0
+        self._refused = 0
+        self._opening_s = 0.0
 
     @property
     def open(self) -> int:
         """Connections that are open or being opened."""
         return self._open
 
+    @property
+    def held(self) -> int:
+        """Connections that are open or being opened and not idle."""
+        return self._open - len(self._idle)
+
+    @property
+    def opened(self) -> int:
+        """Connections opened so far."""
+        return self._opened
+
+    @property
+    def refused(self) -> int:
+        """Connections that the server refused so far."""
+        return self._refused
+
+    @property
+    def opening_s(self) -> float:
+        """Seconds spent opening connections so far."""
+        return self._opening_s
+
+    @property
+    def pinned(self) -> int:
+        """Connections that transactions hold or are about to hold."""
+        return len(self._pinned) + self._pinning
+
     async def acquire(self, *, deadline: float) -> BackendConnection:
         """Takes an idle connection or opens one.
 
@@ -43,20 +85,55 @@
             NotRun: CONNECTION_LIMIT or BACKEND_UNREACHABLE.
         """
         loop = asyncio.get_running_loop()
+        pause = REFUSED_PAUSE_S
         while True:
             connection = self._take_idle()
             if connection is not None:
                 return connection
-            if self._open < self._limit:
+            if self._open >= self._limit:
+                await self._wait(deadline - loop.time())
+                continue
+            try:
                 return await self._connect(deadline - loop.time())
-            await self._wait(deadline - loop.time())
+            except NotRun as error:
+                # Other instances may hold connections for a while after a change of owner.
+                if error.code != ResultCode.CONNECTION_LIMIT or loop.time() >= deadline:
+                    raise
+            await self._wait_after_refusal(random.uniform(pause / 2, pause), deadline)
+            pause = min(pause * 2, MAX_REFUSED_PAUSE_S)
+
+    async def acquire_pinned(self, *, deadline: float) -> BackendConnection:
+        """Takes a connection for a transaction, which holds it until `release`.
+
+        Raises:
+            NotRun: CONNECTION_LIMIT at once when transactions hold their part of the connections.
+        """
+        if self.pinned >= max(int(self._limit * PINNED_PART), 1):
+            raise self._limit_reached("transactions hold their part of the connections")
+        self._pinning += 1
+        try:
+            connection = await self.acquire(deadline=deadline)
+        finally:
+            self._pinning -= 1
+        self._pinned.add(connection)
+        return connection
+
+    def open_ahead(self, wanted: int) -> None:
+        """Opens connections in the background until `wanted` are not held by transactions."""
+        missing = min(wanted - (self._open - self.pinned), self._limit - self._open)
+        for _ in range(missing - len(self._ahead)):
+            task = asyncio.create_task(self._open_one())
+            self._ahead.add(task)
+            task.add_done_callback(self._ahead.discard)
 
     def release(self, connection: BackendConnection) -> None:
         """Gives a connection back; a closed one is dropped."""
+        self._pinned.discard(connection)
         if connection.closed:
             self._open -= 1
         else:
-            self._idle.append(connection)
+            self._idle.append((connection, asyncio.get_running_loop().time()))
+            self._schedule_trim()
         self._wake()
 
     def discard(self, connection: BackendConnection) -> None:
@@ -66,39 +143,65 @@
 
     def close_idle(self) -> None:
         """Closes the connections that nobody uses."""
-        for connection in self._idle:
-            connection.close()
-            self._open -= 1
-        self._idle.clear()
+        while self._idle:
+            self._drop_oldest()
+        for task in self._ahead:
+            task.cancel()
+        if self._trim is not None:
+            self._trim.cancel()
+            self._trim = None
 
     def _take_idle(self) -> BackendConnection | None:
         while self._idle:
-            connection = self._idle.pop()
+            connection, _ = self._idle.pop()
             if not connection.closed:
                 return connection
             self._open -= 1
         return None
 
     async def _connect(self, timeout: float) -> BackendConnection:
+        loop = asyncio.get_running_loop()
         self._open += 1
+        started = loop.time()
         try:
-            return await self._backend.connect(self._address, timeout=max(timeout, 0.001))
-        except BaseException:
+            connection = await self._backend.connect(
+                self._address, timeout=max(timeout, MIN_TIMEOUT_S)
+            )
+        except BaseException as error:
             self._open -= 1
+            if isinstance(error, NotRun) and error.code == ResultCode.CONNECTION_LIMIT:
+                self._refused += 1
+                log_event(Event.CONNECTION_REFUSED, address=self._address, open=self._open)
             self._wake()
             raise
+        finally:
+            self._opening_s += loop.time() - started
+        self._opened += 1
+        return connection
+
+    async def _open_one(self) -> None:
+        if self._open >= self._limit:
+            return
+        try:
+            self.release(await self._connect(OPEN_AHEAD_TIMEOUT_S))
+        except NotRun:
+            return  # the work that needs a connection opens one itself and reports the failure
+
+    async def _wait_after_refusal(self, pause: float, deadline: float) -> None:
+        remaining = deadline - asyncio.get_running_loop().time()
+        try:
+            await self._wait(min(pause, remaining))
+        except NotRun:
+            if pause >= remaining:
+                raise
 
     async def _wait(self, timeout: float) -> None:
         freed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiting.append(freed)
         try:
-            await asyncio.wait_for(freed, max(timeout, 0.001))
+            await asyncio.wait_for(freed, max(timeout, MIN_TIMEOUT_S))
         except TimeoutError as error:
-            raise NotRun(
-                ResultCode.CONNECTION_LIMIT,
-                f"all {self._limit} connections to {self._address} are in use",
-                retry_after_ms=int(REFUSED_PAUSE_S * 1000),
-            ) from error
+            raise self._limit_reached("all connections are in use") from error
         except asyncio.CancelledError:
             if freed.done() and not freed.cancelled():
                 self._wake()  # passes a wake-up on that this waiter can no longer use
@@ -113,3 +216,27 @@
             if not freed.done():
                 freed.set_result(None)
                 return
+
+    def _limit_reached(self, reason: str) -> NotRun:
+        return NotRun(
+            ResultCode.CONNECTION_LIMIT,
+            f"{reason}: {self._address} has a limit of {self._limit}",
+            retry_after_ms=int(REFUSED_PAUSE_S * 1000),
+        )
+
+    def _schedule_trim(self) -> None:
+        if self._trim is None and len(self._idle) > self._keep:
+            loop = asyncio.get_running_loop()
+            self._trim = loop.call_later(TRIM_INTERVAL_S, self._close_unused)
+
+    def _close_unused(self) -> None:
+        self._trim = None
+        oldest_kept = asyncio.get_running_loop().time() - IDLE_LIFETIME_S
+        while len(self._idle) > self._keep and self._idle[0][1] <= oldest_kept:
+            self._drop_oldest()
+        self._schedule_trim()
+
+    def _drop_oldest(self) -> None:
+        connection, _ = self._idle.popleft()
+        connection.close()
+        self._open -= 1
--- a/src/wigeonpoint/connection/_messages.py
+++ b/src/wigeonpoint/connection/_messages.py
@@ -73,10 +73,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BeginMessage:
-    """Opens a transaction for a session."""
+    """Opens a transaction for a session.
+
+    Attributes:
+        work: Queueing details.
+        session_id: Session that the transaction belongs to.
+        message_id: Id by which the message can be cancelled.
+    """
 
     work: WorkDetails
     session_id: str
+    message_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +122,22 @@
     remaining_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class CancelMessage:
+    """Cancels an `ExecuteMessage` or `BeginMessage` by its message id."""
+
+    server_id: str
+    message_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class CancelReply:
+    """Whether the work was known, and whether it may have been sent to the backend server."""
+
+    known: bool
+    sent: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
     """An answer without content."""
--- a/src/wigeonpoint/connection/_transactions.py
+++ b/src/wigeonpoint/connection/_transactions.py
@@ -8,7 +8,8 @@
 
 from wigeonpoint.backend import BackendAnswer, BackendConnection, Exchange
 from wigeonpoint.connection._backend_pool import BackendPool
-from wigeonpoint.errors import InvalidRequest, ResultCode, WigeonpointError
+from wigeonpoint.errors import InvalidRequest, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.request import Rank
 
 IDLE_TIMEOUT_S = 10.0
 
@@ -24,6 +25,8 @@
     pool: BackendPool
     connection: BackendConnection
     used_at: float
+    rank: Rank = Rank.STANDARD
+    caller: str = ""
     busy: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
@@ -54,6 +57,8 @@
         pool: BackendPool,
         connection: BackendConnection,
         timeout: float,
+        rank: Rank = Rank.STANDARD,
+        caller: str = "",
     ) -> OpenTransaction:
         """Opens a transaction on a connection, which it keeps until it ends."""
         try:
@@ -69,6 +74,8 @@
             pool=pool,
             connection=connection,
             used_at=asyncio.get_running_loop().time(),
+            rank=rank,
+            caller=caller,
         )
         self._open[transaction.number] = transaction
         if self._reaper is None or self._reaper.done():
@@ -100,6 +107,9 @@
         async with transaction.busy:
             try:
                 return await transaction.connection.execute(exchange, timeout=timeout)
+            except (OutcomeUnknown, asyncio.CancelledError):
+                transaction.connection.close()  # a late answer must not reach a later exchange
+                raise
             finally:
                 self._after_use(transaction)
 
@@ -110,6 +120,9 @@
         async with transaction.busy:
             try:
                 return await transaction.connection.commit(request_id, timeout=timeout)
+            except (OutcomeUnknown, asyncio.CancelledError):
+                transaction.connection.close()  # a late answer must not reach a later exchange
+                raise
             finally:
                 self._end(transaction)
 
--- a/src/wigeonpoint/process/_owner.py
+++ b/src/wigeonpoint/process/_owner.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 
 from wigeonpoint.backend import Backend, BackendAnswer, BackendConnection, LogPosition
 from wigeonpoint.connection import (
     BackendPool,
     BeginMessage,
+    CancelReply,
     ExecuteMessage,
     ExecuteReply,
     OpenTransaction,
@@ -17,9 +18,12 @@
     WorkDetails,
 )
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.process._concurrency import AdaptiveLimit, FixedLimit
+from wigeonpoint.process._rank_queue import RankQueue
+from wigeonpoint.process._schedule import QueueEntry, RankedSchedule, Schedule
+from wigeonpoint.request import Rank
 from wigeonpoint.version import BackendServer, Durability, GroupView
 
-DEFAULT_SLOTS = 2
 DEFAULT_CONNECTIONS = 8
 MIN_TIMEOUT_S = 0.001
 
@@ -31,8 +35,9 @@
         server: The backend server.
         group: View of its group.
         backend: Access to the server.
-        slots: Statements to run at once.
+        slots: Statements to run at once; None adapts the number to the latency.
         connections: Connections that may be open at once.
+        schedule: Order of waiting work; the default is urgent first with guaranteed shares.
     """
 
     def __init__(
@@ -41,25 +46,46 @@
         group: GroupView,
         backend: Backend,
         *,
-        slots: int,
+        slots: int | None,
         connections: int,
+        schedule: Schedule | None = None,
     ) -> None:
         self._server = server
         self._group = group
-        self._slots = asyncio.Semaphore(slots)
-        self._pool = BackendPool(backend, server.address, limit=connections)
+        self._schedule = schedule or RankedSchedule()
+        self._queue = RankQueue(
+            server.id,
+            limit=AdaptiveLimit(connections) if slots is None else FixedLimit(slots),
+            schedule=self._schedule,
+        )
+        self._pool = BackendPool(backend, server.address, limit=connections, keep=slots or 1)
 
     @property
     def pool(self) -> BackendPool:
         """Connections to the server."""
         return self._pool
 
+    @property
+    def queue(self) -> RankQueue:
+        """Work that waits for a slot of the server."""
+        return self._queue
+
+    def use_shares(self, shares: Mapping[Rank, float]) -> None:
+        """Takes the guaranteed shares of a pool row into force."""
+        if isinstance(self._schedule, RankedSchedule):
+            self._schedule.shares = shares
+
+    def cancel(self, message_id: str) -> CancelReply:
+        """Keeps queued work from being sent and tells whether it may have been."""
+        result = self._queue.cancel(message_id)
+        return CancelReply(result.known, result.sent)
+
     async def execute(self, message: ExecuteMessage) -> ExecuteReply:
         """Runs a statement and has it confirmed where the message asks for it."""
         deadline = _deadline(message.work)
-        async with self._admit(deadline):
+        async with self._admit(message.work, deadline, message.message_id) as entry:
             connection = await self._pool.acquire(deadline=deadline)
-            answer = await self._run(connection, message, deadline)
+            answer = await self._run(connection, message, deadline, entry)
         self._group.note_position(self._server.id, answer.at)
         if message.confirm:
             await self.confirm(answer.at, message.durability, deadline)
@@ -73,21 +99,35 @@
     async def begin(self, message: BeginMessage, transactions: Transactions) -> OpenTransaction:
         """Opens a transaction on a connection of its own."""
         deadline = _deadline(message.work)
-        async with self._admit(deadline):
-            connection = await self._pool.acquire(deadline=deadline)
-            return await transactions.begin(
-                session_id=message.session_id,
-                group=self._group.name,
-                server_id=self._server.id,
-                pool=self._pool,
-                connection=connection,
-                timeout=_remaining(deadline),
-            )
+        # The connection is taken before the slot, so that waiting for one holds no slot.
+        connection = await self._pool.acquire_pinned(deadline=deadline)
+        handed_over = False
+        try:
+            async with self._admit(message.work, deadline, message.message_id) as entry:
+                timeout = _remaining(deadline)
+                entry.mark_sent()
+                handed_over = True
+                return await transactions.begin(
+                    session_id=message.session_id,
+                    group=self._group.name,
+                    server_id=self._server.id,
+                    pool=self._pool,
+                    connection=connection,
+                    timeout=timeout,
+                    rank=message.work.rank,
+                    caller=message.work.caller,
+                )
+        finally:
+            if not handed_over:
+                self._pool.release(connection)
 
     @asynccontextmanager
-    async def slot(self, deadline: float) -> AsyncIterator[None]:
+    async def slot(self, transaction: OpenTransaction, deadline: float) -> AsyncIterator[None]:
         """Holds a slot of the server for a statement of an open transaction."""
-        async with self._admit(deadline):
+        async with self._queue.admit(
+            rank=transaction.rank, caller=transaction.caller, deadline=deadline, continues=True
+        ) as entry:
+            entry.mark_sent()
             yield
 
     async def confirm(self, at: LogPosition, durability: Durability, deadline: float) -> None:
@@ -99,25 +139,34 @@
         )
 
     @asynccontextmanager
-    async def _admit(self, deadline: float) -> AsyncIterator[None]:
-        try:
-            await asyncio.wait_for(self._slots.acquire(), _remaining(deadline))
-        except TimeoutError as error:
-            raise NotRun(
-                ResultCode.DEADLINE_UNREACHABLE,
-                f"no slot of {self._server.id} became free before the deadline",
-            ) from error
-        try:
-            yield
-        finally:
-            self._slots.release()
+    async def _admit(
+        self, work: WorkDetails, deadline: float, message_id: str = ""
+    ) -> AsyncIterator[QueueEntry]:
+        if self._queue.running >= self._queue.limit:
+            # One spare serves the next begin, or replaces a connection that has to be closed.
+            self._pool.open_ahead(self._queue.limit + 1)
+        async with self._queue.admit(
+            rank=work.rank, caller=work.caller, deadline=deadline, message_id=message_id
+        ) as entry:
+            yield entry
 
     async def _run(
-        self, connection: BackendConnection, message: ExecuteMessage, deadline: float
+        self,
+        connection: BackendConnection,
+        message: ExecuteMessage,
+        deadline: float,
+        entry: QueueEntry,
     ) -> BackendAnswer:
         try:
-            return await connection.execute(message.exchange, timeout=_remaining(deadline))
+            timeout = _remaining(deadline)
+            entry.mark_sent()
+            return await connection.execute(message.exchange, timeout=timeout)
+        except asyncio.CancelledError:
+            connection.close()  # a late answer must not reach the next user
+            raise
         except WigeonpointError as error:
+            if isinstance(error, OutcomeUnknown):
+                connection.close()
             if error.code in (ResultCode.NOT_PRIMARY, ResultCode.BACKEND_UNREACHABLE):
                 self._group.forget_primary(self._server.id)
             if message.exchange.read_only and isinstance(error, OutcomeUnknown):
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -10,6 +10,8 @@
     Acknowledgement,
     BeginMessage,
     BeginReply,
+    CancelMessage,
+    CancelReply,
     CommitMessage,
     ExecuteMessage,
     ExecuteReply,
@@ -20,7 +22,7 @@
     WorkDetails,
 )
 from wigeonpoint.errors import NotRun, ResultCode
-from wigeonpoint.process._owner import DEFAULT_CONNECTIONS, DEFAULT_SLOTS, OwnedServer
+from wigeonpoint.process._owner import DEFAULT_CONNECTIONS, OwnedServer
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.version import BackendServer, Durability, GroupView, Pool
 
@@ -54,6 +56,7 @@
     def register(self, dispatcher: PeerDispatcher) -> None:
         """Registers the handlers of all messages to an owner."""
         dispatcher.register(ExecuteMessage, self.execute)
+        dispatcher.register(CancelMessage, self.cancel)
         dispatcher.register(BeginMessage, self.begin)
         dispatcher.register(StatementMessage, self.execute_in_transaction)
         dispatcher.register(CommitMessage, self.commit)
@@ -64,6 +67,13 @@
         owned = await self._owned_server(message.work)
         return await owned.execute(message)
 
+    async def cancel(self, message: CancelMessage) -> CancelReply:
+        """Removes queued work; the reply says whether it may have been sent."""
+        owned = self._owned.get(message.server_id)
+        if owned is None:
+            return CancelReply(known=False, sent=True)
+        return owned.cancel(message.message_id)
+
     async def begin(self, message: BeginMessage) -> BeginReply:
         """Opens a transaction on the primary."""
         owned = await self._owned_server(message.work)
@@ -75,7 +85,7 @@
         transaction = self._transactions.find(message.number, message.session_id)
         owned = self._owned[transaction.server_id]
         deadline = asyncio.get_running_loop().time() + message.remaining_ms / 1000
-        async with owned.slot(deadline):
+        async with owned.slot(transaction, deadline):
             answer = await self._transactions.execute(
                 transaction, message.exchange, timeout=message.remaining_ms / 1000
             )
@@ -119,7 +129,11 @@
         async with lock:
             if server.id not in self._owned:
                 self._owned[server.id] = await self._take_over(server, group, work)
-        return self._owned[server.id]
+        owned = self._owned[server.id]
+        row = self._pool_row(work.pool)
+        if row is not None:
+            owned.use_shares(row.shares)
+        return owned
 
     async def _take_over(
         self, server: BackendServer, group: GroupView, work: WorkDetails
@@ -127,7 +141,7 @@
         status = await self._backend.member(server.address).status(timeout=STATUS_TIMEOUT_S)
         group.note_status(server.id, status)
         row = self._pool_row(work.pool)
-        slots = (row.slots if row else None) or status.slots or DEFAULT_SLOTS
+        slots = (row.slots if row else None) or status.slots
         connections = (
             (row.connections if row else None) or status.connection_limit or DEFAULT_CONNECTIONS
         )
--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from wigeonpoint.version._configuration import (
+    DEFAULT_SHARES,
     Configuration,
     Durability,
     Pool,
@@ -19,6 +20,7 @@
 )
 
 __all__ = [
+    "DEFAULT_SHARES",
     "BackendServer",
     "Configuration",
     "Durability",
--- /dev/null
+++ b/tests/test_backend_pool.py
@@ -0,0 +1,157 @@
+"""Connections to one backend server within its limit, and admission at its owner."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+
+import pytest
+
+from tests.fakes import FakeBackend, FakeNetwork, add_group
+from wigeonpoint.backend import Exchange
+from wigeonpoint.connection import (
+    BackendPool,
+    BeginMessage,
+    ExecuteMessage,
+    Transactions,
+    WorkDetails,
+)
+from wigeonpoint.connection._backend_pool import IDLE_LIFETIME_S, TRIM_INTERVAL_S
+from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
+from wigeonpoint.process._owner import OwnedServer
+from wigeonpoint.request import Rank, Statement
+from wigeonpoint.standins import DatabaseMemberStandIn, MemberOptions
+from wigeonpoint.version import BackendServer, GroupView
+
+pytestmark = pytest.mark.looptime
+
+
+class Server:
+    """One backend server with 8 connections, and a pool in front of it."""
+
+    def __init__(self, statement_ms: float = 10.0) -> None:
+        options = MemberOptions(slots=2, connection_limit=8, statement_ms=statement_ms)
+        self.network = FakeNetwork(data_centres={"here": "chur"})
+        self.member: DatabaseMemberStandIn = add_group(self.network, "g", ["chur"], options)[0]
+        self.backend = FakeBackend(self.network, "chur")
+        self.pool = BackendPool(self.backend, "g-0", limit=8)
+
+    def owned(self) -> OwnedServer:
+        """The server at its owner."""
+        server = BackendServer("g-0", "g-0", "chur", "g")
+        group = GroupView("g", [server], self.backend)
+        return OwnedServer(server, group, self.backend, slots=2, connections=8)
+
+
+def now() -> float:
+    """Event-loop time."""
+    return asyncio.get_running_loop().time()
+
+
+class TestLimit:
+    """Connections against the limit."""
+
+    async def test_refused_connection_is_retried_until_one_is_free(self) -> None:
+        """Guards against requests that fail while another instance still holds connections."""
+        server = Server()
+        server.member.connections = 8  # held by the former owner
+        asyncio.get_running_loop().call_later(0.4, setattr, server.member, "connections", 7)
+        connection = await server.pool.acquire(deadline=now() + 2.0)
+        assert not connection.closed and now() >= 0.4
+        assert server.pool.refused >= 2 and server.pool.opened == 1
+
+    async def test_refusal_lasts_until_the_deadline(self) -> None:
+        """Guards against retries beyond the deadline."""
+        server = Server()
+        server.member.connections = 8
+        with pytest.raises(NotRun) as caught:
+            await server.pool.acquire(deadline=now() + 1.0)
+        assert caught.value.code == ResultCode.CONNECTION_LIMIT
+        assert now() == pytest.approx(1.0, abs=0.05)
+
+    async def test_transactions_leave_a_quarter(self) -> None:
+        """Guards against transactions that keep every statement from running."""
+        server = Server()
+        held = [await server.pool.acquire_pinned(deadline=now() + 1) for _ in range(6)]
+        with pytest.raises(NotRun) as caught:
+            await server.pool.acquire_pinned(deadline=now() + 1)
+        assert caught.value.code == ResultCode.CONNECTION_LIMIT
+        server.pool.release(await server.pool.acquire(deadline=now() + 1))
+        server.pool.release(held[0])
+        await server.pool.acquire_pinned(deadline=now() + 1)
+
+    async def test_burst_never_exceeds_the_limit(self) -> None:
+        """Guards against openings ahead that are not counted."""
+        server = Server()
+
+        async def use() -> None:
+            connection = await server.pool.acquire(deadline=now() + 60)
+            await asyncio.sleep(0.01)
+            server.pool.release(connection)
+
+        users = [asyncio.create_task(use()) for _ in range(50)]
+        for wanted in (3, 8, 20):
+            server.pool.open_ahead(wanted)
+        await asyncio.gather(*users)
+        assert server.member.peak_connections <= 8
+        assert server.pool.refused == 0 and server.pool.held == 0
+
+    async def test_idle_connections_are_closed(self) -> None:
+        """Guards against connections kept from other instances long after a burst."""
+        server = Server()
+        held = [await server.pool.acquire(deadline=now() + 1) for _ in range(5)]
+        for connection in held:
+            server.pool.release(connection)
+        await asyncio.sleep(IDLE_LIFETIME_S + 1.1 * TRIM_INTERVAL_S)
+        assert server.pool.open == server.member.connections == 1
+
+
+class TestOwner:
+    """Admission, connections and execution together."""
+
+    @pytest.fixture
+    def server(self) -> Iterator[Server]:
+        yield Server(statement_ms=100.0)
+
+    @staticmethod
+    def work(within_ms: float = 5000.0) -> WorkDetails:
+        return WorkDetails("p", "g", "g-0", "r", Rank.STANDARD, "a", within_ms)
+
+    def message(self, within_ms: float = 5000.0, message_id: str = "") -> ExecuteMessage:
+        exchange = Exchange(Statement("PUT k v", []), read_only=False, request_id=None)
+        return ExecuteMessage(self.work(within_ms), exchange, confirm=False, message_id=message_id)
+
+    async def test_connection_with_an_answer_outstanding_is_closed(self, server: Server) -> None:
+        """Guards against a late answer that reaches the next request of the connection."""
+        owned = server.owned()
+        with pytest.raises(OutcomeUnknown):
+            await owned.execute(self.message(within_ms=50))
+        cancelled = asyncio.create_task(owned.execute(self.message()))
+        await asyncio.sleep(0.05)
+        cancelled.cancel()
+        await asyncio.gather(cancelled, return_exceptions=True)
+        assert owned.pool.open == server.member.connections == 0
+
+    async def test_cancelled_work_is_not_sent(self, server: Server) -> None:
+        """Guards against work that runs after its entry has given up."""
+        owned = server.owned()
+        running = [asyncio.create_task(owned.execute(self.message())) for _ in range(2)]
+        queued = asyncio.create_task(owned.execute(self.message(message_id="m")))
+        await asyncio.sleep(0.05)
+        reply = owned.cancel("m")
+        assert reply.known and not reply.sent
+        with pytest.raises(NotRun):
+            await queued
+        await asyncio.gather(*running)
+        assert server.member.status().position == 3  # the first entry of the term and two writes
+
+    async def test_refused_begin_gives_its_connection_back(self, server: Server) -> None:
+        """Guards against connections lost with begins that got no slot."""
+        owned = server.owned()
+        running = [asyncio.create_task(owned.execute(self.message())) for _ in range(2)]
+        await asyncio.sleep(0.03)
+        begin = BeginMessage(self.work(within_ms=40), "s")
+        with pytest.raises(NotRun):
+            await owned.begin(begin, Transactions())
+        await asyncio.gather(*running)
+        assert (owned.pool.held, owned.pool.pinned) == (0, 0)
