Bound the adaptive limit test by throughput

The former lower bound of the limit contradicts the measurement of the baseline, which halves the limit for a moment. The test now requires 0.9 of the server's throughput and at most twice its slots, and it failed with an upward-drifting baseline (limit 22 at 4 slots).

--- a/tests/test_rank_queue.py
+++ b/tests/test_rank_queue.py
@@ -193,7 +193,9 @@
 
         for _ in range(5):
             await asyncio.gather(*(work() for _ in range(400)))
-        assert min(seen[1000:]) >= 4 and max(seen[1000:]) <= 12
+        assert max(seen[1000:]) <= 8
+        # 2000 statements at 4 slots; the limit is halved briefly to measure the baseline
+        assert asyncio.get_running_loop().time() <= 1.1 * 2000 * SERVICE_S / 4
 
 
 class QueueMachine(RuleBasedStateMachine):
