Add the load tool and the service bench

wigeonpoint load generates seeded traces and replays them over kept connections, bounded in count, time and open requests a rank; tools/bench_service.py compares the schedules on a virtual clock and runs the default one through real processes.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo format lint types binary clean
+.PHONY: test demo bench-service format lint types binary clean
 
 $(STAMP): requirements.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -25,5 +25,8 @@
 demo: $(STAMP)
 	PYTHONPATH=src $(BIN)/python -m tests.demo
 
+bench-service: $(STAMP)
+	PYTHONPATH=src $(BIN)/python -m tools.bench_service
+
 clean:
 	rm -rf build dist *.egg-info
--- a/src/wigeonpoint/cli/_main.py
+++ b/src/wigeonpoint/cli/_main.py
@@ -5,6 +5,7 @@
 import click
 
 from wigeonpoint import __version__
+from wigeonpoint.cli._load import load
 from wigeonpoint.cli._serve import serve
 from wigeonpoint.cli._standin import standin
 
@@ -15,5 +16,6 @@
     """A database proxy with session consistency and urgent-first service."""
 
 
+main.add_command(load)
 main.add_command(serve)
 main.add_command(standin)
--- /dev/null
+++ b/src/wigeonpoint/load/__init__.py
@@ -0,0 +1,22 @@
+"""Bounded load tool: traces, their replay, and service measured by rank and kind."""
+
+from __future__ import annotations
+
+from wigeonpoint.load._http import KeptConnections
+from wigeonpoint.load._replay import LoadBounds, Reply, Sender, replay
+from wigeonpoint.load._results import LoadResults
+from wigeonpoint.load._trace import Arrival, TraceKind, generate, read_trace, write_trace
+
+__all__ = [
+    "Arrival",
+    "KeptConnections",
+    "LoadBounds",
+    "LoadResults",
+    "Reply",
+    "Sender",
+    "TraceKind",
+    "generate",
+    "read_trace",
+    "replay",
+    "write_trace",
+]
--- a/src/wigeonpoint/process/_schedule.py
+++ b/src/wigeonpoint/process/_schedule.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
-from collections.abc import Iterator, Mapping
+from collections import Counter, deque
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -235,6 +235,8 @@
 
     def __init__(self) -> None:
         self._entries: dict[QueueEntry, None] = {}
+        self._ranks: Counter[Rank] = Counter()
+        self._callers: Counter[tuple[Rank, str]] = Counter()
 
     def __len__(self) -> int:
         """Number of waiting entries."""
@@ -243,12 +245,14 @@
     def push(self, entry: QueueEntry) -> None:
         """Adds an entry."""
         self._entries[entry] = None
+        self._ranks[entry.rank] += 1
+        self._callers[entry.rank, entry.caller] += 1
 
     def pop(self, *, only: Rank | None = None) -> QueueEntry | None:
         """Takes the oldest entry."""
-        entry = next(self._of(only), None)
+        entry = next((e for e in self._entries if only in (None, e.rank)), None)
         if entry is not None:
-            del self._entries[entry]
+            self.remove(entry)
         return entry
 
     def remove(self, entry: QueueEntry) -> bool:
@@ -256,6 +260,8 @@
         if entry not in self._entries:
             return False
         del self._entries[entry]
+        self._ranks[entry.rank] -= 1
+        self._callers[entry.rank, entry.caller] -= 1
         return True
 
     def heaviest(self, rank: Rank | None = None) -> QueueEntry | None:
@@ -264,15 +270,12 @@
 
     def waiting(self, rank: Rank, caller: str | None = None) -> int:
         """Number of waiting entries."""
-        return sum(1 for entry in self._of(rank) if caller in (None, entry.caller))
+        return self._ranks[rank] if caller is None else self._callers[rank, caller]
 
     def wait_work(self, rank: Rank, caller: str) -> float:
         """Everything that waits."""
         return len(self._entries)
 
-    def _of(self, rank: Rank | None) -> Iterator[QueueEntry]:
-        return (entry for entry in self._entries if rank is None or entry.rank is rank)
-
 
 class StrictPriority(RankedSchedule):
     """Baseline: urgent first without guaranteed shares; fair by caller in a rank."""
--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -4,6 +4,7 @@
 
 from wigeonpoint.version._configuration import (
     DEFAULT_SHARES,
+    DEFAULT_TARGETS,
     Configuration,
     Durability,
     Pool,
@@ -21,6 +22,7 @@
 
 __all__ = [
     "DEFAULT_SHARES",
+    "DEFAULT_TARGETS",
     "BackendServer",
     "Configuration",
     "Durability",
