Refuse overloaded kinds of work at the entry for a moment

Change: OverloadHints repeats a refusal by the owner for up to 0.1 s for the same server, rank and caller without sending. The queue keeps a margin for service and confirmation before the deadline.

--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -13,6 +13,7 @@
 from wigeonpoint.platform import Platform
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
 from wigeonpoint.process._directory_feed import DirectoryFeed
+from wigeonpoint.process._overload_hints import OverloadHints
 from wigeonpoint.process._owner_service import OwnerService
 from wigeonpoint.process._router import Router
 from wigeonpoint.process._settings import Settings
@@ -55,9 +56,10 @@
         keys = settings.session_keys
         tokens = SessionTokens(TokenSigner(keys.keys, keys.active, purpose="session"))
         ids = TransactionIds(TokenSigner(keys.keys, keys.active, purpose="transaction"))
-        self.router = Router(self.topology, transport, tokens, self._configuration)
+        hints = OverloadHints(transport)
+        self.router = Router(self.topology, hints, tokens, self._configuration)
         self.transactions = TransactionRouter(
-            self.topology, transport, tokens, ids, self._configuration
+            self.topology, hints, tokens, ids, self._configuration
         )
 
     @property
--- /dev/null
+++ b/src/wigeonpoint/process/_overload_hints.py
@@ -0,0 +1,84 @@
+"""Refuses work at the entry for a moment after the owner has refused the same kind of work."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from wigeonpoint.connection import BeginMessage, ExecuteMessage, PeerTransport, WorkDetails
+from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.request import Rank
+
+MAX_HOLD_S = 0.1
+MAX_HINTS = 4096
+
+ReplyT = TypeVar("ReplyT")
+_Key = tuple[str, Rank, str]
+
+
+@dataclass(frozen=True, slots=True)
+class _Hint:
+    """A refusal by the owner; it covers work with at most as much time left."""
+
+    until: float
+    remaining_ms: float
+    error: NotRun
+
+
+class OverloadHints:
+    """Peer transport that does not send work which its owner has just refused for overload.
+
+    An owner spends more processor time on the message of refused work than on the refusal, so a
+    flood that reached it would slow urgent work down. A hint covers one server, rank and caller,
+    and work with no more time left than the refused one had.
+
+    Args:
+        transport: Sends messages to instances.
+    """
+
+    def __init__(self, transport: PeerTransport) -> None:
+        self._transport = transport
+        self._hints: dict[_Key, _Hint] = {}
+        self.refused = 0
+
+    async def request(
+        self, address: str, message: Any, reply_type: type[ReplyT], *, timeout: float
+    ) -> ReplyT:
+        """Sends a message and waits for its reply; NotRun at once while a hint covers it."""
+        if not isinstance(message, ExecuteMessage | BeginMessage):
+            return await self._transport.request(address, message, reply_type, timeout=timeout)
+        self._check(message.work)
+        try:
+            return await self._transport.request(address, message, reply_type, timeout=timeout)
+        except NotRun as error:
+            self._note(message.work, error)
+            raise
+
+    def close(self) -> None:
+        """Closes all connections."""
+        self._transport.close()
+
+    def _check(self, work: WorkDetails) -> None:
+        hint = self._hints.get(_key(work))
+        if hint is None or hint.until <= asyncio.get_running_loop().time():
+            return
+        if work.remaining_ms <= hint.remaining_ms:
+            self.refused += 1
+            error = hint.error
+            raise NotRun(error.code, error.message, retry_after_ms=error.retry_after_ms)
+
+    def _note(self, work: WorkDetails, error: NotRun) -> None:
+        if error.retry_after_ms is None:
+            return
+        if error.code not in (ResultCode.QUEUE_FULL, ResultCode.DEADLINE_UNREACHABLE):
+            return
+        if len(self._hints) >= MAX_HINTS:
+            self._hints.clear()  # they last a tenth of a second, so nothing of worth is lost
+        hold = min(error.retry_after_ms / 1000, MAX_HOLD_S)
+        until = asyncio.get_running_loop().time() + hold
+        self._hints[_key(work)] = _Hint(until, work.remaining_ms, error)
+
+
+def _key(work: WorkDetails) -> _Key:
+    return work.server_id, work.rank, work.caller
--- a/src/wigeonpoint/process/_owner.py
+++ b/src/wigeonpoint/process/_owner.py
@@ -88,7 +88,9 @@
             answer = await self._run(connection, message, deadline, entry)
         self._group.note_position(self._server.id, answer.at)
         if message.confirm:
+            finished = asyncio.get_running_loop().time()
             await self.confirm(answer.at, message.durability, deadline)
+            self._queue.record_tail(asyncio.get_running_loop().time() - finished)
         elif message.required is not None and answer.at < message.required:
             raise NotRun(
                 ResultCode.MEMBER_BEHIND,
--- a/src/wigeonpoint/process/_rank_queue.py
+++ b/src/wigeonpoint/process/_rank_queue.py
@@ -14,6 +14,9 @@
 from wigeonpoint.process._schedule import QueueEntry, Schedule, cancelled_error
 from wigeonpoint.request import Rank
 
+# Under overload all work waits nearly until its deadline, so with the mean alone about half of it
+# would be answered too late.
+SERVICE_MARGIN = 1.5
 MIN_RETRY_MS = 10
 MAX_RETRY_MS = 5000
 REMEMBERED_CANCELS = 1024
@@ -64,6 +67,7 @@
         self._reserved = reserved
         self._running = 0
         self._mean_s = 0.0
+        self._tail_s = 0.0
         self._known: dict[str, QueueEntry] = {}
         self._cancelled: OrderedDict[str, None] = OrderedDict()
         self._overload_logged_at = float("-inf")
@@ -145,6 +149,10 @@
             self._refuse(entry, cancelled_error())
         return CancelResult(known=True, sent=entry.sent)
 
+    def record_tail(self, seconds: float) -> None:
+        """Takes note of the time between the end of a slot and the answer, for its confirmation."""
+        self._tail_s += MEAN_WEIGHT * (seconds - self._tail_s)
+
     def expected_wait_s(self, rank: Rank, caller: str) -> float:
         """Seconds until a new entry would get a slot, at the current service rate."""
         if self._running < self._slots_for(rank) and not self._schedule:
@@ -152,6 +160,11 @@
         # On average a slot becomes free after a `1 / limit` part of the service time.
         return (self._schedule.wait_work(rank, caller) + 1) * self._mean_s / self.limit
 
+    @property
+    def _needed_s(self) -> float:
+        """Seconds from the grant of a slot until the answer has arrived."""
+        return SERVICE_MARGIN * self._mean_s + self._tail_s
+
     def _check_new(self, entry: QueueEntry) -> None:
         if entry.message_id in self._cancelled:
             del self._cancelled[entry.message_id]
@@ -162,18 +175,25 @@
         if entry.continues:
             return  # it holds a connection, so refusing it costs more than running it
         # Without running work the estimate has no new samples, so it must not refuse for ever.
-        needed = self.expected_wait_s(entry.rank, entry.caller) + self._mean_s
+        needed = self.expected_wait_s(entry.rank, entry.caller) + self._needed_s
         if self._running > 0 and now + needed > entry.deadline:
             raise self._unreachable(entry)
         if self._schedule.waiting(entry.rank, entry.caller) >= self._bounds.caller:
             raise self._full(entry)
 
     async def _wait(self, entry: QueueEntry) -> None:
+        loop = asyncio.get_running_loop()
         self._schedule.push(entry)
         self._shed(entry)
         self._dispatch()
         if not entry.granted.done():
-            expiry = asyncio.get_running_loop().call_at(entry.deadline, self._expire, entry)
+            expiry = loop.call_at(
+                # Refused while the refusal can still arrive in time; later the entry would have to
+                # take the outcome for unknown.
+                max(entry.deadline - self._needed_s, loop.time()),
+                self._expire,
+                entry,
+            )
         else:
             expiry = None
         try:
@@ -209,7 +229,7 @@
                 continue
             # Work that cannot finish in time would waste the slot.
             if entry.deadline <= now or (
-                self._running > 0 and not entry.continues and entry.deadline < now + self._mean_s
+                self._running > 0 and not entry.continues and entry.deadline < now + self._needed_s
             ):
                 self._refuse(entry, self._unreachable(entry))
                 continue
--- a/tests/test_backend_pool.py
+++ b/tests/test_backend_pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
@@ -18,6 +19,7 @@
 )
 from wigeonpoint.connection._backend_pool import IDLE_LIFETIME_S, TRIM_INTERVAL_S
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
+from wigeonpoint.process._overload_hints import OverloadHints
 from wigeonpoint.process._owner import OwnedServer
 from wigeonpoint.request import Rank, Statement
 from wigeonpoint.standins import DatabaseMemberStandIn, MemberOptions
@@ -106,6 +108,41 @@
         assert server.pool.open == server.member.connections == 1
 
 
+class TestOverloadHints:
+    """Refusals that the entry gives instead of the owner."""
+
+    async def test_refused_kind_of_work_is_not_sent_for_a_moment(self) -> None:
+        """Guards against a flood that costs the owner its processor time."""
+        sent: list[WorkDetails] = []
+
+        class Refusing:
+            async def request(self, address: str, message: Any, *_: Any, timeout: float) -> Any:
+                sent.append(message.work)
+                raise NotRun(ResultCode.DEADLINE_UNREACHABLE, "busy", retry_after_ms=2000)
+
+            def close(self) -> None:
+                """Nothing is open."""
+
+        hints = OverloadHints(Refusing())
+
+        async def send(rank: Rank, caller: str, remaining_ms: float) -> None:
+            work = WorkDetails("p", "g", "g-0", "r", rank, caller, remaining_ms)
+            with pytest.raises(NotRun) as caught:
+                await hints.request("o", BeginMessage(work, "s"), object, timeout=1)
+            assert caught.value.retry_after_ms == 2000
+
+        await send(Rank.BULK, "a", 1000)
+        await send(Rank.BULK, "a", 1000)
+        assert len(sent) == 1
+        await send(Rank.BULK, "b", 1000)  # another caller, another rank, more time left
+        await send(Rank.URGENT, "a", 1000)
+        await send(Rank.BULK, "a", 5000)
+        assert len(sent) == 4
+        await asyncio.sleep(0.2)
+        await send(Rank.BULK, "a", 1000)
+        assert len(sent) == 5
+
+
 class TestOwner:
     """Admission, connections and execution together."""
 
