--- a/tests/test_rank_queue.py
+++ b/tests/test_rank_queue.py
@@ -152,6 +152,7 @@
         assert run.queue.cancel("m1").sent
         result = run.queue.cancel("m2")
         assert result.known and not result.sent
+        assert run.queue.waiting == 0  # its place is free at once
         assert (await refusal(queued)).code == ResultCode.CANCELLED
         await running
         assert run.queue.cancel("m1").sent and len(run.order) == 1
@@ -173,6 +174,17 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         assert (run.queue.running, run.queue.waiting, len(run.order)) == (0, 0, 4)
 
+    async def test_task_that_ends_as_its_slot_is_granted_gives_it_back(self) -> None:
+        """Guards against a slot granted to a task that can no longer use it."""
+        run = Run(limit=FixedLimit(1))
+        async with run.queue.admit(rank=Rank.BULK, caller="a", deadline=FAR_S) as entry:
+            queued = run.send(Rank.STANDARD)
+            await asyncio.sleep(0)
+            entry.mark_sent()
+        queued.cancel()  # the slot was granted, and the task has not resumed yet
+        await asyncio.gather(queued, return_exceptions=True)
+        assert (run.queue.running, run.order) == (0, [])
+
 
 class TestAdaptiveLimit:
     """The limit for servers that state no slots."""
