--- a/src/wigeonpoint/load/_results.py
+++ b/src/wigeonpoint/load/_results.py
@@ -97,7 +97,7 @@
         "p50_ms": latency.get_value_at_percentile(50) / 1000,
         "p99_ms": latency.get_value_at_percentile(99) / 1000,
         "within_target": round(within / sent, 4) if sent else None,
-        "outcomes": dict(outcomes),
+        "outcomes": {str(outcome): count for outcome, count in outcomes.items()},
         "codes": {str(code): count for code, count in sorted(codes.items())},
         "retry_p50_ms": retry.get_value_at_percentile(50),
     }
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 
+import orjson
 import pytest
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -91,6 +92,7 @@
         results = await replay(trace, _Slow(), LoadBounds(requests=20, seconds=0.5))
         assert asyncio.get_running_loop().time() <= 0.6
         assert results.rank(Rank.BULK)["outcomes"] == {Outcome.UNKNOWN: 20}
+        assert json.loads(orjson.dumps(results.as_json(0.5)))["kinds"]["bulk read"]["sent"] == 20
 
 
 class TestGenerator:
