--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo format lint types binary clean bench-failover
+.PHONY: test demo format binary bench-failover bench-service clean
 
 $(STAMP): requirements.txt pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -34,5 +34,8 @@
 bench-failover: $(STAMP)
 	PYTHONPATH=src $(BIN)/python -m tools.bench_failover
 
+bench-service: $(STAMP)
+	PYTHONPATH=src $(BIN)/python -m tools.bench_service
+
 clean:
 	rm -rf build dist *.egg-info
--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -51,6 +51,9 @@
     POSITION_LOST = (601, logging.ERROR, "a session requires a position that no log contains")
     COMMIT_UNRESOLVED = (602, logging.WARNING, "the outcome of a commit could not be resolved")
 
+    QUEUE_FULL = (500, logging.WARNING, "owner queue is full; refusing its heaviest caller")
+    CONNECTION_REFUSED = (501, logging.WARNING, "backend server refused a connection; retrying")
+
     def __init__(self, number: int, level: int, sentence: str) -> None:
         self.number = number
         self.level = level
--- a/src/wigeonpoint/connection/_messages.py
+++ b/src/wigeonpoint/connection/_messages.py
@@ -71,20 +71,6 @@
         return LogPosition(self.term, self.position)
 
 
-@dataclass(frozen=True, slots=True)
-class CancelMessage:
-    """Removes a message that its entry has given up from the owner's queue."""
-
-    message_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class CancelReply:
-    """Whether the work was removed before anything was sent to the backend server."""
-
-    removed: bool
-
-
 @dataclass(frozen=True, slots=True)
 class SamplePositionMessage:
     """Asks for the confirmed position of a primary."""
@@ -116,10 +102,17 @@
 
 @dataclass(frozen=True, slots=True)
 class BeginMessage:
-    """Opens a transaction for a session."""
+    """Opens a transaction for a session.
+
+    Attributes:
+        work: Queueing details.
+        session_id: Session that the transaction belongs to.
+        message_id: Id by which the message can be cancelled.
+    """
 
     work: WorkDetails
     session_id: str
+    message_id: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +152,22 @@
     remaining_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class CancelMessage:
+    """Cancels an `ExecuteMessage` or `BeginMessage` by its message id."""
+
+    server_id: str
+    message_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class CancelReply:
+    """Whether the work was known, and whether it may have been sent to the backend server."""
+
+    known: bool
+    sent: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Acknowledgement:
     """An answer without content."""
--- a/src/wigeonpoint/connection/_transactions.py
+++ b/src/wigeonpoint/connection/_transactions.py
@@ -8,7 +8,8 @@
 
 from wigeonpoint.backend import BackendAnswer, BackendConnection, Exchange
 from wigeonpoint.connection._backend_pool import BackendPool
-from wigeonpoint.errors import InvalidRequest, ResultCode, WigeonpointError
+from wigeonpoint.errors import InvalidRequest, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.request import Rank
 
 IDLE_TIMEOUT_S = 10.0
 
@@ -25,6 +26,8 @@
     connection: BackendConnection
     used_at: float
     term: int = 0
+    rank: Rank = Rank.STANDARD
+    caller: str = ""
     busy: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
@@ -59,6 +62,8 @@
         pool: BackendPool,
         connection: BackendConnection,
         timeout: float,
+        rank: Rank = Rank.STANDARD,
+        caller: str = "",
     ) -> OpenTransaction:
         """Opens a transaction on a connection, which it keeps until it ends."""
         try:
@@ -75,6 +80,8 @@
             connection=connection,
             used_at=asyncio.get_running_loop().time(),
             term=term,
+            rank=rank,
+            caller=caller,
         )
         self._open[transaction.number] = transaction
         if self._reaper is None or self._reaper.done():
@@ -106,6 +113,9 @@
         async with transaction.busy:
             try:
                 return await transaction.connection.execute(exchange, timeout=timeout)
+            except (OutcomeUnknown, asyncio.CancelledError):
+                transaction.connection.close()  # a late answer must not reach a later exchange
+                raise
             finally:
                 self._after_use(transaction)
 
@@ -116,6 +126,9 @@
         async with transaction.busy:
             try:
                 return await transaction.connection.commit(request_id, timeout=timeout)
+            except (OutcomeUnknown, asyncio.CancelledError):
+                transaction.connection.close()  # a late answer must not reach a later exchange
+                raise
             finally:
                 self._end(transaction)
 
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -26,6 +26,7 @@
 )
 from wigeonpoint.process._directory_feed import DirectoryFeed
 from wigeonpoint.process._drain import Drain
+from wigeonpoint.process._overload_hints import OverloadHints
 from wigeonpoint.process._owner_service import OwnerService
 from wigeonpoint.process._position_samples import PositionSampleService
 from wigeonpoint.process._request_recorder import RequestRecorder
@@ -108,10 +109,11 @@
         keys = settings.session_keys
         tokens = SessionTokens(TokenSigner(keys.keys, keys.active, purpose="session"))
         ids = TransactionIds(TokenSigner(keys.keys, keys.active, purpose="transaction"))
-        self.router = Router(self.topology, transport, tokens, self._configuration, source=source)
+        hints = OverloadHints(transport)
+        self.router = Router(self.topology, hints, tokens, self._configuration, source=source)
         self.transactions = TransactionRouter(
             self.topology,
-            transport,
+            hints,
             tokens,
             ids,
             self._configuration,
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -12,6 +12,8 @@
     Acknowledgement,
     BeginMessage,
     BeginReply,
+    CancelMessage,
+    CancelReply,
     CommitMessage,
     ExecuteMessage,
     ExecuteReply,
@@ -24,7 +26,7 @@
 )
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.process._handover import Handover
-from wigeonpoint.process._owner import DEFAULT_CONNECTIONS, DEFAULT_SLOTS, OwnedServer
+from wigeonpoint.process._owner import DEFAULT_CONNECTIONS, OwnedServer
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.version import BackendServer, Durability, GroupView, Pool
 
@@ -73,6 +75,7 @@
     def register(self, dispatcher: PeerDispatcher) -> None:
         """Registers the handlers of all messages to an owner."""
         dispatcher.register(ExecuteMessage, self.execute)
+        dispatcher.register(CancelMessage, self.cancel)
         dispatcher.register(BeginMessage, self.begin)
         dispatcher.register(StatementMessage, self.execute_in_transaction)
         dispatcher.register(CommitMessage, self.commit)
@@ -86,6 +89,13 @@
         with self._use(owned):
             return await owned.execute(message)
 
+    async def cancel(self, message: CancelMessage) -> CancelReply:
+        """Removes queued work; the reply says whether it may have been sent."""
+        owned = self._owned.get(message.server_id)
+        if owned is None:
+            return CancelReply(known=False, sent=True)
+        return owned.cancel(message.message_id)
+
     async def begin(self, message: BeginMessage) -> BeginReply:
         """Opens a transaction on the primary."""
         owned = await self._owned_server(message.work)
@@ -98,7 +108,7 @@
         transaction = self._transactions.find(message.number, message.session_id)
         owned = self._owned[transaction.server_id]
         deadline = asyncio.get_running_loop().time() + message.remaining_ms / 1000
-        async with owned.slot(deadline):
+        async with owned.slot(transaction, deadline):
             answer = await self._transactions.execute(
                 transaction, message.exchange, timeout=message.remaining_ms / 1000
             )
@@ -151,6 +161,9 @@
             if server.id not in self._owned:
                 self._owned[server.id] = await self._take_over(server, group, work)
         owned = self._owned[server.id]
+        row = self._pool_row(work.pool)
+        if row is not None:
+            owned.use_shares(row.shares)
         if not self._topology.owns(server):
             owned.release_ownership()  # served for a peer with another view; nothing is kept
         return owned
@@ -179,7 +192,7 @@
         status = await self._backend.member(server.address).status(timeout=STATUS_TIMEOUT_S)
         group.note_status(server.id, status)
         row = self._pool_row(work.pool)
-        slots = (row.slots if row else None) or status.slots or DEFAULT_SLOTS
+        slots = (row.slots if row else None) or status.slots
         connections = (
             (row.connections if row else None) or status.connection_limit or DEFAULT_CONNECTIONS
         )
--- a/src/wigeonpoint/process/_work_sender.py
+++ b/src/wigeonpoint/process/_work_sender.py
@@ -74,14 +74,15 @@
         try:
             reply = await self._transport.request(
                 address,
-                CancelMessage(message.message_id),
+                CancelMessage(message.work.server_id, message.message_id),
                 CancelReply,
                 timeout=CANCEL_TIMEOUT_S,
             )
         except WigeonpointError:
             return False
-        self._cancelled += reply.removed
-        return reply.removed
+        removed = reply.known and not reply.sent
+        self._cancelled += removed
+        return removed
 
     def _message(
         self, attempt: RequestAttempt, server: BackendServer, timeout: float, *, confirm: bool
--- a/src/wigeonpoint/version/__init__.py
+++ b/src/wigeonpoint/version/__init__.py
@@ -4,6 +4,7 @@
 
 from wigeonpoint.version._configuration import (
     DEFAULT_OBJECTIVE,
+    DEFAULT_SHARES,
     DEFAULT_TARGETS,
     Configuration,
     Durability,
@@ -51,6 +52,8 @@
     "DEFAULT_TARGETS",
     "POOLS",
     "ROUTES",
+    "DEFAULT_SHARES",
+    "DEFAULT_TARGETS",
     "BackendServer",
     "CandidateLost",
     "Configuration",
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -146,7 +146,7 @@
 
         async def cancel(message: CancelMessage) -> CancelReply:
             cancelled.append(message.message_id)
-            return CancelReply(removed)
+            return CancelReply(known=True, sent=not removed)
 
         async def never(message: ExecuteMessage) -> None:
             await asyncio.sleep(60)
