--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterator
 
 import pytest
-from tools.cluster import CALLER_TOKEN, Cluster, call
+from tools.cluster import CALLER_TOKEN, OPERATOR_TOKEN, Cluster, call
+from tools.kept_http import KeptConnection
 
 
 @pytest.fixture(scope="module")
@@ -66,6 +67,21 @@
         reply = cluster.statement("chur-1", **body)
         assert (reply.body["code"], reply.body["outcome"]) == (code, "not_run")
 
+    async def test_wrong_bodies_harm_nothing_else_on_the_connection(self, cluster: Cluster) -> None:
+        """Guards against a connection that is lost or answers out of step after a wrong body."""
+        connection = await KeptConnection.open(cluster.processes["chur-1"].address)
+        codes = []
+        for body in (b"{", b"[]", b'"' + b"a" * 1_100_000 + b'"', b'{"route": "closures"}'):
+            _, answer = await connection.request_raw("/v1/statements", body, token=CALLER_TOKEN)
+            codes.append(answer["code"])
+        statement = b'{"route": "closures", "text": "GET none", "access": "read"}'
+        _, answer = await connection.request_raw("/v1/statements", statement, token="unknown")
+        codes.append(answer["code"])
+        _, answer = await connection.request_raw("/v1/statements", statement, token=CALLER_TOKEN)
+        connection.close()
+        assert codes == [100, 101, 102, 101, 103]
+        assert answer["outcome"] == "done"
+
 
 class TestTransactions:
     """Transactions that roam between instances."""
@@ -104,3 +120,33 @@
             "chur-2", route="closures", text="GET t", access="read", session=done["session"]
         )
         assert read.body["rows"] == ["7"]
+
+
+class TestReports:
+    """What an operator sees of the service."""
+
+    def test_burn_report_merges_instances(self, cluster: Cluster) -> None:
+        """Guards against a report with the counts of one instance only."""
+        for name in ("chur-1", "sargans-1"):
+            cluster.statement(name, route="closures", text="GET a", access="read", rank="bulk")
+        address = cluster.processes["chur-2"].address
+        reply = call("GET", f"http://{address}/admin/v1/burn", token=OPERATOR_TOKEN)
+        rows = reply.body["report"]["rows"]
+        bulk = [row for row in rows if (row["rank"], row["window"]) == ("bulk", "1h")]
+        assert [row["total"] for row in bulk] == [2]
+        assert len(reply.body["report"]["instances"]) == 4
+
+    def test_burn_report_needs_an_operator(self, cluster: Cluster) -> None:
+        """Guards against callers that read the operators' report."""
+        address = cluster.processes["chur-2"].address
+        reply = call("GET", f"http://{address}/admin/v1/burn", token=CALLER_TOKEN)
+        assert (reply.status, reply.body["name"]) == (401, "unauthorised")
+
+    def test_wrong_paths_and_methods_get_numbers(self, cluster: Cluster) -> None:
+        """Guards against answers of the framework without a number."""
+        address = cluster.processes["chur-2"].address
+        found = [
+            call("GET", f"http://{address}/nowhere").body["code"],
+            call("GET", f"http://{address}/v1/statements").body["code"],
+        ]
+        assert found == [111, 112]
--- a/tools/kept_http.py
+++ b/tools/kept_http.py
@@ -26,6 +26,13 @@
     async def request(self, method: str, path: str, body: Any, *, token: str) -> tuple[int, Any]:
         """Sends a request; gives status and decoded body."""
         data = b"" if body is None else orjson.dumps(body)
+        return await self._exchange(method, path, data, token)
+
+    async def request_raw(self, path: str, data: bytes, *, token: str) -> tuple[int, Any]:
+        """Posts bytes as they are; gives status and decoded body."""
+        return await self._exchange("POST", path, data, token)
+
+    async def _exchange(self, method: str, path: str, data: bytes, token: str) -> tuple[int, Any]:
         head = (
             f"{method} {path} HTTP/1.1\r\nHost: localhost\r\nAuthorization: Bearer {token}\r\n"
             f"Content-Length: {len(data)}\r\n\r\n"
