--- a/src/wigeonpoint/_channel.py
+++ b/src/wigeonpoint/_channel.py
@@ -108,12 +108,15 @@
         if self._closed:
             raise NotRun(ResultCode.PEER_UNREACHABLE, f"channel to {self._url} is closed")
         number = next(self._ids)
-        answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[Any] = loop.create_future()
         self._pending[number] = answer
         frame = orjson.dumps({"id": number, "type": kind, "body": body})
+        # A timer on the answer costs less than `asyncio.wait_for`, which adds a second future.
+        timer = loop.call_later(timeout, _expire, answer)
         try:
             self._connection.write_message(frame)
-            return await asyncio.wait_for(answer, timeout)
+            return await answer
         except WebSocketClosedError as error:  # the stream ended before the reader noticed
             raise NotRun(
                 ResultCode.PEER_UNREACHABLE, f"channel to {self._url} is closed"
@@ -123,6 +126,7 @@
                 ResultCode.DEADLINE_EXCEEDED, f"no answer from {self._url} to {kind} in time"
             ) from error
         finally:
+            timer.cancel()
             self._pending.pop(number, None)
 
     def close(self) -> None:
@@ -213,6 +217,11 @@
             await self.write_message(orjson.dumps(reply))
 
 
+def _expire(answer: asyncio.Future[Any]) -> None:
+    if not answer.done():
+        answer.set_exception(TimeoutError())
+
+
 def _encode_error(error: WigeonpointError) -> dict[str, Any]:
     return {
         "code": int(error.code),
