Keep owners up to date through changes of the instances

The watcher also looked at every server four times a second. Change: OwnerPool compares an added instance with the known owners and drops only those of a removed one; the watcher looks again only after a change. The first computation still takes about 2 s, once in a process.

--- a/src/wigeonpoint/process/_topology.py
+++ b/src/wigeonpoint/process/_topology.py
@@ -7,7 +7,8 @@
 from wigeonpoint.backend import Backend
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.platform import Listing, ListingKind, ListingState
-from wigeonpoint.version import BackendServer, GroupView, InstanceRecord, owner_of
+from wigeonpoint.process._owner_pool import OwnerPool
+from wigeonpoint.version import BackendServer, GroupView, InstanceRecord
 
 
 class Topology:
@@ -21,9 +22,12 @@
     def __init__(self, own: InstanceRecord, backend: Backend) -> None:
         self._own = own
         self._backend = backend
-        self._instances = {own.id: own}
+        self._instances: dict[str, InstanceRecord] = {}
         self._groups: dict[str, GroupView] = {}
-        self._owners: dict[str, InstanceRecord] = {}
+        self._all = OwnerPool()  # owns the servers of data centres without instances
+        self._local: dict[str, OwnerPool] = defaultdict(OwnerPool)  # by data centre
+        self._changes = 0
+        self.set_instances([own])
 
     @property
     def own(self) -> InstanceRecord:
@@ -35,6 +39,11 @@
         """Live instances, this one included unless it is leaving."""
         return list(self._instances.values())
 
+    @property
+    def changes(self) -> int:
+        """Number of changes so far that may have moved an owner or added a group."""
+        return self._changes
+
     @property
     def groups(self) -> list[GroupView]:
         """Known database groups."""
@@ -53,12 +62,8 @@
 
     def owner_of(self, server: BackendServer) -> InstanceRecord:
         """Owner of a backend server among the live instances."""
-        owner = self._owners.get(server.id)
-        if owner is None:
-            # Kept until the instances change: the hashes of 131 instances cost more than a lookup.
-            owner = owner_of(server, self._instances.values()) or self._own
-            self._owners[server.id] = owner
-        return owner
+        local = self._local.get(server.data_centre)
+        return (local or self._all).owner(server.id) or self._own
 
     def owns(self, server: BackendServer) -> bool:
         """Whether this instance owns a backend server."""
@@ -67,7 +72,14 @@
     def set_instances(self, instances: list[InstanceRecord]) -> None:
         """Replaces the live instances; this one is missing among them while it is leaving."""
         self._instances = {instance.id: instance for instance in instances}
-        self._owners.clear()
+        if not self._all.replace(instances):
+            return
+        self._changes += 1
+        by_data_centre: dict[str, list[InstanceRecord]] = defaultdict(list)
+        for instance in self._instances.values():
+            by_data_centre[instance.data_centre].append(instance)
+        for data_centre in self._local.keys() | by_data_centre.keys():
+            self._local[data_centre].replace(by_data_centre[data_centre])
 
     def apply_listings(self, listings: list[Listing]) -> None:
         """Takes the backend servers of a platform list.
@@ -78,15 +90,21 @@
         for listing in listings:
             if listing.kind is ListingKind.BACKEND_SERVER:
                 servers[listing.group].append(_server(listing))
-        self._owners.clear()
+        self._changes += 1
         for name, members in servers.items():
             self._apply_group(name, sorted(members, key=lambda server: server.id))
+        if servers:
+            self._forget_unlisted({one.id for members in servers.values() for one in members})
 
     def close(self) -> None:
         """Ends the tasks of all groups."""
         for group in self._groups.values():
             group.close()
 
+    def _forget_unlisted(self, server_ids: set[str]) -> None:
+        for pool in (self._all, *self._local.values()):
+            pool.retain(server_ids)
+
     def _apply_group(self, name: str, members: list[BackendServer]) -> None:
         known = self._groups.get(name)
         if known is None:
--- a/src/wigeonpoint/process/_watcher.py
+++ b/src/wigeonpoint/process/_watcher.py
@@ -261,6 +261,7 @@
         self._detector = detector
         self._announcer = announcer
         self._watches: dict[str, GroupWatch] = {}
+        self._followed = -1  # changes of the topology that the watches reflect
         self._task: asyncio.Task[None] | None = None
 
     @property
@@ -300,6 +301,10 @@
                 group.note_history(TermHistory(record.history))
 
     def _update(self) -> None:
+        # Looking at every member of 2,900 groups four times a second costs over 1 % of a core.
+        if self._followed == self._topology.changes:
+            return
+        self._followed = self._topology.changes
         wanted = {
             group.name: group
             for group in self._topology.groups
