--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -1,8 +1,8 @@
 """Measures slopes of control work that the other tools leave out; prints one JSON object.
 
-Each figure comes from several sizes. Database members run as processes of their own; everything
-else runs in this process, so the cost of a peer message includes both of its ends. Run from the
-root: `PYTHONPATH=src python -m tools.measure_capacity`. A run takes less than a minute.
+Each figure comes from several sizes. Database members run as processes of their own; all else runs
+in this process, so a peer message includes both ends. Run from the root, for less than a minute:
+`PYTHONPATH=src python -m tools.measure_capacity`.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -37,10 +38,11 @@
 )
 from wigeonpoint.platform import ConditionalDirectory, Listing, ListingKind, http_platform
 from wigeonpoint.process._group_probe import GroupProbe
+from wigeonpoint.process._topology import Topology
 from wigeonpoint.report import BurnRecorder
 from wigeonpoint.request import Rank
 from wigeonpoint.standins import PlatformStandIn
-from wigeonpoint.version import BackendServer, GroupConfirmer, GroupView
+from wigeonpoint.version import BackendServer, GroupConfirmer, GroupView, InstanceRecord
 
 GROUP = "signplan-0"
 WATCHED = (2, 8, 32)  # groups of 3 members
@@ -51,6 +53,8 @@
 VIEWS = (100, 1_000, 2_900)
 TOKEN_GROUPS = (1, 2, 5, 20)
 LISTINGS = (1_040, 5_200, 10_400)
+INSTANCES = (425, 850, 1_700)
+SERVERS_FOR_AN_INSTANCE = 5
 WAITERS = (1, 4, 16, 64)
 CONFIRMATIONS = 640
 TIMEOUT_S = 5.0
@@ -69,8 +73,7 @@
     gc.collect()
     used = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    del held
-    return used
+    return used if held is not None else 0
 
 
 def resident_kib() -> int:
@@ -112,10 +115,9 @@
         ]
         sent, used = sum(map(wire_bytes, channels)), time.process_time()
         await asyncio.sleep(WATCH_WINDOW_S)
-        members = 3 * count
         rows.append(
             {
-                "members": members,
+                "members": 3 * count,
                 "processor_ms_per_s": round(
                     1000 * (time.process_time() - used) / WATCH_WINDOW_S, 3
                 ),
@@ -180,13 +182,12 @@
             for _ in range(ROUNDS):
                 asked = [one.request(kind, message, timeout=TIMEOUT_S) for one in channels]
                 await asyncio.gather(*asked)
-            total = ROUNDS * count
-            row[f"{kind}_both_ends_ms"] = round(1000 * (time.process_time() - used) / total, 4)
-            row[f"{kind}_bytes"] = round((sum(map(wire_bytes, channels)) - sent) / total)
+            row[f"{kind}_both_ends_ms"] = round(
+                1000 * (time.process_time() - used) / (ROUNDS * count), 4
+            )
+            row[f"{kind}_bytes"] = round((sum(map(wire_bytes, channels)) - sent) / (ROUNDS * count))
         row["resident_kib_both_ends"] = resident_kib() - start
         rows.append(row)
-    for channel in channels:
-        channel.close()
     server.stop()
     kib = slope(CHANNELS, [row["resident_kib_both_ends"] for row in rows])
     return {"rows": rows, "kib_for_each_channel_both_ends": kib}
@@ -320,16 +321,14 @@
 def token_bytes(groups: int) -> int:
     """Length of the session token of a session that used so many groups."""
     tokens = SessionTokens(TokenSigner({"k1": "secret"}, "k1", purpose="session"))
-    session = Session.begin()
-    for number in range(groups):
-        session.advance(f"signplan-db-{number:04d}", LogPosition(7, 1_000_000 + number))
-    return len(tokens.encode(session))
+    positions = {f"signplan-db-{n:04d}": LogPosition(7, 1_000_000 + n) for n in range(groups)}
+    return len(tokens.encode(Session("x" * 12, positions)))
 
 
 def measure_memory() -> dict[str, Any]:
     """Memory of burn counters and group views, and the length of tokens."""
-    burn: list[float] = [traced_bytes(lambda keys=keys: make_burn(keys)) for keys in BURN_KEYS]
-    views: list[float] = [traced_bytes(lambda count=count: make_views(count)) for count in VIEWS]
+    burn: list[float] = [traced_bytes(partial(make_burn, keys)) for keys in BURN_KEYS]
+    views: list[float] = [traced_bytes(partial(make_views, count)) for count in VIEWS]
     tokens: list[float] = [token_bytes(groups) for groups in TOKEN_GROUPS]
     return {
         "burn_bytes": dict(zip(BURN_KEYS, burn, strict=True)),
@@ -341,6 +340,43 @@
     }
 
 
+def entry(number: int) -> InstanceRecord:
+    """An instance of one of 13 data centres."""
+    data_centre = f"data-centre-{number % 13}"
+    address = f"10.2.{number // 256}.{number % 256}:8080"
+    return InstanceRecord(f"entry-{number:05d}", address, data_centre)
+
+
+def measure_ownership() -> list[dict[str, Any]]:
+    """Processor time of changes of the instances and of the list, with the owners they move."""
+    rows = []
+    for count in INSTANCES:
+        listed = listings(SERVERS_FOR_AN_INSTANCE * count)
+        topology = Topology(entry(0), WebSocketBackend())
+        live = [entry(number) for number in range(count)]
+
+        def cost(change: Callable[[], None], topology: Topology = topology) -> float:
+            used = time.process_time()
+            change()
+            for group in topology.groups:
+                any(topology.owns(server) for server in group.servers)
+            return round(1000 * (time.process_time() - used), 2)
+
+        topology.apply_listings(listed)
+        rows.append(
+            {
+                "instances": count,
+                "servers": len(listed),
+                "first_ms": cost(partial(topology.set_instances, live)),
+                "added_ms": cost(partial(topology.set_instances, [*live, entry(count)])),
+                "removed_ms": cost(partial(topology.set_instances, live)),
+                "list_ms": cost(partial(topology.apply_listings, listed)),
+                "unchanged_ms": cost(lambda: None),
+            }
+        )
+    return rows
+
+
 async def measure(cluster: Cluster) -> dict[str, Any]:
     """Runs all measurements one after the other."""
     return {
@@ -348,6 +384,7 @@
         "peers": await measure_peers(),
         "confirmations": await measure_confirmations(cluster),
         "directory": await measure_directory(),
+        "ownership": measure_ownership(),
         "memory": measure_memory(),
     }
 
