Keep the counts of a burn ring in one array of 32-bit numbers

Cause: two arrays of 64-bit numbers for each of three windows, route and rank; with 8,700 keys in use an instance would hold 14 MB of its 32 MB. Figures: bytes for each route and rank 1,566 before, 1,062 after (ratio 0.68); processor time of a record 0.99 to 1.14 of the former in three comparisons.

--- a/src/wigeonpoint/report/_burn.py
+++ b/src/wigeonpoint/report/_burn.py
@@ -73,36 +73,42 @@
 
 
 class _Ring:
-    """Buckets of one window; a bucket is reused after the window has passed."""
+    """Buckets of one window; a bucket is reused after the window has passed.
 
-    __slots__ = ("_good", "_newest", "_total", "_width")
+    One array of 32-bit numbers holds all of them, the good answers of a bucket before its total,
+    because a large fleet has thousands of rings on each instance.
+    """
+
+    __slots__ = ("_counts", "_newest", "_width")
 
     def __init__(self, window: BurnWindow) -> None:
         self._width = window.bucket_seconds
-        self._good = array("L", [0] * BUCKETS_PER_WINDOW)
-        self._total = array("L", [0] * BUCKETS_PER_WINDOW)
+        self._counts = array("I", bytes(8 * BUCKETS_PER_WINDOW))
         self._newest = 0
 
     def record(self, now: float, good: bool) -> None:
         self._advance(now)
-        slot = self._newest % BUCKETS_PER_WINDOW
-        self._total[slot] += 1
-        self._good[slot] += good
+        slot = 2 * (self._newest % BUCKETS_PER_WINDOW)
+        self._counts[slot] += good
+        self._counts[slot + 1] += 1
 
     def counts(self, now: float, window: str) -> WindowCounts:
         self._advance(now)
         order = [
-            (self._newest + 1 + offset) % BUCKETS_PER_WINDOW for offset in range(BUCKETS_PER_WINDOW)
+            2 * ((self._newest + 1 + offset) % BUCKETS_PER_WINDOW)
+            for offset in range(BUCKETS_PER_WINDOW)
         ]
         return WindowCounts(
-            window, [self._good[slot] for slot in order], [self._total[slot] for slot in order]
+            window,
+            [self._counts[slot] for slot in order],
+            [self._counts[slot + 1] for slot in order],
         )
 
     def _advance(self, now: float) -> None:
         number = int(now / self._width)
         for passed in range(self._newest + 1, min(number, self._newest + BUCKETS_PER_WINDOW) + 1):
-            self._good[passed % BUCKETS_PER_WINDOW] = 0
-            self._total[passed % BUCKETS_PER_WINDOW] = 0
+            slot = 2 * (passed % BUCKETS_PER_WINDOW)
+            self._counts[slot] = self._counts[slot + 1] = 0
         self._newest = max(self._newest, number)
 
 
