--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -170,8 +170,7 @@
         AnnounceConfigurationMessage(123_456, "10.1.1.1:8080"),
     ]
     server, url = peer_server()
-    rows, channels = [], []
-    start = resident_kib()
+    rows, channels, start = [], [], resident_kib()
     for count in CHANNELS:
         while len(channels) < count:
             channels.append(await JsonChannel.open(url, timeout=TIMEOUT_S))
@@ -217,8 +216,7 @@
 
 async def measure_confirmations(cluster: Cluster) -> list[dict[str, Any]]:
     """Polls of members for each confirmed answer, by the number of answers that wait at once."""
-    rows = []
-    servers = servers_of(cluster)
+    rows, servers = [], servers_of(cluster)
     for waiting in WAITERS:
         backend = _CountingBackend()
         confirmer = GroupConfirmer(servers, backend)
