--- a/tests/test_backend_pool.py
+++ b/tests/test_backend_pool.py
@@ -25,7 +25,7 @@
 from wigeonpoint.standins import DatabaseMemberStandIn, MemberOptions
 from wigeonpoint.version import BackendServer, GroupView
 
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
 class Server:
--- a/tests/test_configuration_edits.py
+++ b/tests/test_configuration_edits.py
@@ -24,7 +24,7 @@
     state_problems,
 )
 
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
 def put(edit_id: str, table: str, key: str, version: int, value: dict[str, Any] | None) -> Edit:
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -13,7 +13,7 @@
 from wigeonpoint.process._configuration_history import ConfigurationHistory
 from wigeonpoint.version import ConfigurationState, Edit, RowChange, build_state
 
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 BOUND_S = 5.0
 
--- a/tests/test_confirmation.py
+++ b/tests/test_confirmation.py
@@ -13,7 +13,7 @@
 from wigeonpoint.standins import DatabaseMemberStandIn, MemberOptions
 from wigeonpoint.version import BackendServer, Durability, GroupConfirmer
 
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 PLACES = ["chur", "sargans", "gallen"]
 SERVERS = [BackendServer(f"g-{i}", f"g-{i}", at, "g") for i, at in enumerate(PLACES)]
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -13,7 +13,7 @@
 
 BUDGET_S = 6.0
 
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
 class _EndOfClaimant(logging.Handler):
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -21,7 +21,7 @@
 
 LIMIT = 4
 NAMES = ["chur-1", "chur-2", "chur-3"]
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
 @pytest_asyncio.fixture
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -12,7 +12,7 @@
 from wigeonpoint.channel import JsonChannel
 from wigeonpoint.errors import OutcomeUnknown
 
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
 class FakeSocket:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -74,7 +74,7 @@
 class TestReplay:
     """Bounds and measurement of a replay."""
 
-    @pytest.mark.looptime
+    @pytest.mark.looptime(noop_cycles=0)
     async def test_open_requests_are_bounded_by_rank(self) -> None:
         """Guards against a flood in the tool that holds back the requests of another rank."""
         trace = sorted(
@@ -85,7 +85,7 @@
         assert results.rank(Rank.BULK)["done"] == 5 and results.not_sent == 45
         assert results.rank(Rank.URGENT)["p50_ms"] == pytest.approx(1000, rel=0.01)
 
-    @pytest.mark.looptime
+    @pytest.mark.looptime(noop_cycles=0)
     async def test_replay_ends_at_its_bounds(self) -> None:
         """Guards against a load run that does not stop by itself."""
         trace = arrivals(50, Rank.BULK)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -16,7 +16,7 @@
 
 CHUR = ["chur-1", "chur-2", "chur-3", "chur-4"]
 SARGANS = ["sargans-1", "sargans-2", "sargans-3"]
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
 @pytest_asyncio.fixture
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -16,7 +16,7 @@
 from wigeonpoint.request._retry_budget import RETRY_BURST
 from wigeonpoint.standins import MemberOptions
 
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
 @pytest.fixture
--- a/tests/test_rank_queue.py
+++ b/tests/test_rank_queue.py
@@ -18,7 +18,7 @@
 from wigeonpoint.process._schedule import RANKS, QueueEntry, RankedSchedule
 from wigeonpoint.request import Rank
 
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 SERVICE_S = 0.01
 FAR_S = 1000.0
 
--- a/tests/test_reads.py
+++ b/tests/test_reads.py
@@ -14,7 +14,7 @@
 from wigeonpoint.process._position_samples import PositionSample, PositionSamples
 from wigeonpoint.version import Durability, GroupView
 
-pytestmark = pytest.mark.looptime
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
 @pytest.fixture
