Merge the test harnesses of instances into one

Four modules built instances over the fakes, each with its own tables, requests and close. tests/fleet.py now builds one kind of instance; a fleet runs all of its tasks, only its configuration feed, or none. tests/conftest.py holds the shared fixtures.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,107 +1,359 @@
-"""Instances in three data centres before one group, in one event loop."""
+"""Instances before database groups over the fakes, in one event loop.
+
+The test chooses which tasks run: all of an instance (`add`), its configuration feed alone
+(`Fleet.with_feeds`) or none (`Fleet.idle`), where configuration and instances are given.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import dataclass, field
+from typing import Any
 
 from tests.fakes import FakeBackend, FakeNetwork, FakeTransport, add_group
 from wigeonpoint.connection import PeerDispatcher
-from wigeonpoint.errors import StoreUnavailable, WigeonpointError
+from wigeonpoint.errors import OutcomeUnknown, ResultCode, StoreUnavailable, WigeonpointError
 from wigeonpoint.platform import (
     Listing,
     ListingKind,
     ListingState,
     Platform,
+    Put,
     Row,
     TableTransaction,
 )
 from wigeonpoint.process import InstanceCore, Settings
+from wigeonpoint.process._configuration_feed import ConfigurationFeed
 from wigeonpoint.request import Access, Answer, Rank, Statement, StatementRequest
-from wigeonpoint.standins import MemoryDirectory, MemoryObjects, MemoryTables
-from wigeonpoint.version import InstanceRecord
+from wigeonpoint.standins import (
+    DatabaseMemberStandIn,
+    MemberOptions,
+    MemoryDirectory,
+    MemoryObjects,
+    MemoryTables,
+)
+from wigeonpoint.version import Durability, InstanceRecord, RowValue, build_state
 
+SEED = 20261204
+KEYS = {"k1": "first-secret", "k2": "second-secret"}
 DATA_CENTRES = ["chur", "sargans", "gallen"]
-GROUP = "signplan-0"
+GROUP = "plans"
+POOL: RowValue = {"group": "signplan-0"}
+ROUTE: RowValue = {"pool": "plans"}
+
 
+def after(seconds: float) -> float:
+    """Event-loop time in some seconds."""
+    return asyncio.get_running_loop().time() + seconds
 
-@dataclass
+
+@dataclass(slots=True)
 class FaultyTables:
-    """Table service that can be down, lose answers or, to prove a test, skip its checks."""
+    """Memory tables whose calls fail on request and which record accepted documents.
+
+    Attributes:
+        unavailable: Every call fails before it takes effect.
+        lost_answers: Number of next transactions that take effect and fail all the same.
+        land_on_read: The next transaction fails and takes effect at the next read of this table.
+        outage_after_loss: A lost answer is followed by an outage.
+        unconditional: Transactions skip their checks, which proves that a test needs them.
+        commits: Number, document and edit id of every accepted state.
+    """
 
     tables: MemoryTables = field(default_factory=MemoryTables)
-    down: bool = False
-    answers_to_lose: int = 0
+    unavailable: bool = False
+    lost_answers: int = 0
+    outage_after_loss: bool = False
     unconditional: bool = False
+    land_on_read: str = ""
+    delayed: TableTransaction | None = None
+    commits: list[tuple[int, dict[str, Any], str | None]] = field(default_factory=list)
 
     async def read(self, table: str, key: str) -> Row | None:
         """Reads a row."""
-        await self._travel()
+        await self._call()
+        if self.delayed is not None and table == self.land_on_read:
+            delayed, self.delayed, self.land_on_read = self.delayed, None, ""
+            await self.transact(delayed)
         return await self.tables.read(table, key)
 
     async def scan(self, table: str) -> list[Row]:
         """Reads a table."""
-        await self._travel()
+        await self._call()
         return await self.tables.scan(table)
 
     async def transact(self, transaction: TableTransaction) -> None:
         """Applies a transaction."""
-        await self._travel()
+        await self._call()
+        if self.land_on_read:
+            self.delayed = transaction
+            raise StoreUnavailable("the answer was lost")
+        before = await self.tables.read("configuration", "head")
         checks = [] if self.unconditional else transaction.checks
         await self.tables.transact(TableTransaction(checks, transaction.puts, transaction.deletes))
+        self._record(transaction, [] if before is None else before.value["edits"])
         await asyncio.sleep(0.001)
-        if self.answers_to_lose:
-            self.answers_to_lose -= 1
+        if self.lost_answers:
+            self.lost_answers -= 1
+            self.unavailable = self.outage_after_loss
             raise StoreUnavailable("the answer was lost")
 
-    async def _travel(self) -> None:
+    async def put(self, table: str, **rows: RowValue) -> None:
+        """Writes rows directly, as an operator does without the administration interface."""
+        puts = [Put(table, key, value) for key, value in rows.items()]
+        await self.tables.transact(TableTransaction(puts=puts))
+
+    async def _call(self) -> None:
         await asyncio.sleep(0.001)
+        if self.unavailable:
+            raise StoreUnavailable("the table service does not answer")
+
+    def _record(self, transaction: TableTransaction, before: list[Any]) -> None:
+        puts = {put.table: put.value for put in transaction.puts}
+        if "configuration" in puts:
+            edits = puts["configuration"]["edits"]
+            new = edits[-1]["edit_id"] if edits != before else None
+            self.commits.append((puts["configuration"]["number"], puts["configurations"], new))
+
+
+@dataclass(slots=True)
+class CutTables:
+    """The tables as one data centre reaches them; fails while `down` is set."""
+
+    shared: FaultyTables
+    down: bool = False
+
+    def __getattr__(self, name: str) -> Any:
         if self.down:
-            raise StoreUnavailable("the table service is down")
+            raise StoreUnavailable("the data centre is cut off")
+        return getattr(self.shared, name)
+
+
+class FlakyDirectory(MemoryDirectory):
+    """The platform's list, which tests can take away."""
+
+    available = True
+    reads = 0
+
+    async def list(self) -> list[Listing]:
+        """Reads the list."""
+        if not self.available:
+            raise StoreUnavailable("the platform is down")
+        self.reads += 1
+        return await super().list()
+
+
+class PausableDispatcher(PeerDispatcher):
+    """Leaves messages unanswered while its instance is paused."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.running = asyncio.Event()
+        self.running.set()
 
+    async def deliver(self, message: object) -> object:
+        """Answers once the instance runs."""
+        await self.running.wait()
+        return await super().deliver(message)
+
+
+class Entry(InstanceCore):
+    """An instance with short forms of the calls that tests make on route `closures`."""
+
+    dispatcher: PausableDispatcher
+
+    async def run(
+        self, text: str, access: Access = Access.READ, *, deadline: float = 2.0, **fields: Any
+    ) -> Answer:
+        """Runs a statement."""
+        defaults = {"request_id": None, "idempotent": False, "rank": Rank.STANDARD}
+        request = StatementRequest(
+            route="closures",
+            statement=Statement(text, []),
+            access=access,
+            caller="crew",
+            deadline=after(deadline),
+            **(defaults | fields),
+        )
+        return await self.router.execute(request)
+
+    async def write(self, text: str, **fields: Any) -> Answer:
+        """Runs a write."""
+        return await self.run(text, Access.WRITE, **fields)
+
+    async def begin(
+        self, session: str | None = None, *, deadline: float = 2.0
+    ) -> tuple[str, Answer]:
+        """Opens a transaction."""
+        return await self.transactions.begin(
+            "closures", rank=Rank.STANDARD, caller="crew", deadline=after(deadline), session=session
+        )
+
+    async def put(self, transaction: str, text: str, session: str | None) -> Answer:
+        """Runs a write in a transaction."""
+        return await self.transactions.execute(
+            transaction, Statement(text), Access.WRITE, session=session, deadline=after(2.0)
+        )
+
+    async def commit(
+        self, transaction: str, session: str | None, request_id: str | None = None
+    ) -> Answer:
+        """Commits a transaction."""
+        return await self.transactions.commit(
+            transaction, request_id=request_id, session=session, deadline=after(4.0)
+        )
+
+
+@dataclass(slots=True)
 class Fleet:
-    """One instance in each data centre and one group with a member in each.
+    """Instances with one platform, one network and at most one database group.
 
-    Args:
-        detection: Name of the detection method.
+    Attributes:
+        reach: The tables as each data centre reaches them.
     """
 
-    def __init__(self, detection: str = "second_opinion") -> None:
-        self.network = FakeNetwork()
-        self.members = add_group(self.network, GROUP, DATA_CENTRES)
-        self.tables = FaultyTables()
-        listings = [
-            Listing(name, ListingKind.ENTRY, name, name.removesuffix("-entry"))
-            for name in (f"{data_centre}-entry" for data_centre in DATA_CENTRES)
-        ]
-        for member, data_centre in zip(self.members, DATA_CENTRES, strict=True):
-            listings.append(
-                Listing(member.name, ListingKind.BACKEND_SERVER, member.name, data_centre, GROUP)
-            )
-        self.directory = MemoryDirectory(listings)
-        self.cores = {name: self._core(name, detection) for name in DATA_CENTRES}
+    network: FakeNetwork = field(default_factory=FakeNetwork)
+    directory: FlakyDirectory = field(default_factory=FlakyDirectory)
+    tables: FaultyTables = field(default_factory=FaultyTables)
+    objects: MemoryObjects = field(default_factory=MemoryObjects)
+    reach: dict[str, CutTables] = field(default_factory=dict)
+    cores: dict[str, Entry] = field(default_factory=dict)
 
-    async def __aenter__(self) -> Fleet:
-        """Starts the instances and waits until a write succeeds.
-
-        Fixtures run outside looptime's clock, so tests enter the fleet themselves.
-        """
-        tables = self.tables.tables
-        tables._put("pools", "plans", {"group": GROUP})
-        tables._put("routes", "closures", {"pool": "plans"})
-        for core in self.cores.values():
-            core.start()
+    @classmethod
+    def idle(
+        cls,
+        *,
+        options: MemberOptions | None = None,
+        durability: Durability = Durability.MAJORITY,
+    ) -> Fleet:
+        """One instance and one member in each data centre; the instances run no tasks."""
+        fleet = cls()
+        fleet.add_members(DATA_CENTRES, options)
+        pools: dict[str, RowValue] = {"plans": {"group": GROUP, "durability": durability}}
+        state = build_state(1, {"closures": ROUTE}, pools)
+        for number, name in enumerate(DATA_CENTRES):
+            core = fleet.build(f"i-{name}", name, source=random.Random(SEED + number))
+            core.feed._state = state
+        for core in fleet.entries:
+            core.topology.set_instances([other.record for other in fleet.entries])
+            core.topology.apply_listings(fleet.directory.listings)
+        return fleet
+
+    @classmethod
+    def with_feeds(cls, counts: dict[str, int]) -> Fleet:
+        """Instances of which only the configuration feeds run."""
+        random.seed(SEED)
+        fleet = cls()
+        for data_centre, count in counts.items():
+            for index in range(count):
+                fleet.add_feed(f"{data_centre}-{index}", data_centre)
+        return fleet
+
+    @classmethod
+    async def serving(cls, detection: str = "second_opinion") -> Fleet:
+        """One whole instance and one member in each data centre, after a first write."""
+        fleet = cls()
+        fleet.add_members(DATA_CENTRES)
+        await fleet.put_rows()
+        for name in DATA_CENTRES:
+            fleet.add(name, name, detection=detection)
         await asyncio.sleep(1.2)
-        await self.write("sargans", "first")
+        await fleet.write("sargans", "first")
+        return fleet
+
+    async def __aenter__(self) -> Fleet:
         return self
 
     async def __aexit__(self, *details: object) -> None:
-        """Ends all tasks."""
-        for core in self.cores.values():
-            core.close()
-        for member in self.members:
-            member.stop()
+        self.close()
+
+    @property
+    def entries(self) -> list[Entry]:
+        """The instances in the order of their start."""
+        return list(self.cores.values())
+
+    @property
+    def members(self) -> list[DatabaseMemberStandIn]:
+        """The members of the group."""
+        return list(self.network.members.values())
+
+    @property
+    def feeds(self) -> dict[str, ConfigurationFeed]:
+        """Configuration feeds by instance."""
+        return {name: core.feed for name, core in self.cores.items()}
+
+    @property
+    def numbers(self) -> set[int]:
+        """Configuration numbers in force."""
+        return {feed.number for feed in self.feeds.values()}
+
+    def add_members(self, data_centres: list[str], options: MemberOptions | None = None) -> None:
+        """Starts and lists the members of the group."""
+        for member in add_group(self.network, GROUP, data_centres, options):
+            self.list_member(member.name)
+
+    def list_member(self, name: str, state: ListingState = ListingState.LIVE) -> None:
+        """Sets the state of a member on the platform's list."""
+        data_centre, kind = self.network.data_centres[name], ListingKind.BACKEND_SERVER
+        self.directory.replace(Listing(name, kind, name, data_centre, GROUP, state))
+
+    async def put_rows(self) -> None:
+        """Writes the route `closures` and its pool."""
+        await self.tables.put("pools", plans={"group": GROUP})
+        await self.tables.put("routes", closures=ROUTE)
+
+    def build(
+        self,
+        name: str,
+        data_centre: str,
+        *,
+        address: str | None = None,
+        source: random.Random | None = None,
+        **settings: Any,
+    ) -> Entry:
+        """Builds and lists an instance without tasks; its address is its name unless given."""
+        address = address or name
+        self.network.data_centres[address] = data_centre
+        tables = self.reach.setdefault(data_centre, CutTables(self.tables))
+        dispatcher = PausableDispatcher()
+        core = self.cores[name] = Entry(
+            Settings.model_validate(
+                {
+                    "instance": {"id": name, "data_centre": data_centre},
+                    "platform": {"address": "127.0.0.1:1"},
+                    "session_keys": {"active": "k1", "keys": KEYS},
+                    "peer_key": "peer-key",
+                }
+                | settings
+            ),
+            InstanceRecord(name, address, data_centre),
+            platform=Platform(tables, self.objects, self.directory),
+            backend=FakeBackend(self.network, data_centre),
+            transport=FakeTransport(self.network, address, dispatcher),
+            dispatcher=dispatcher,
+            source=source,
+        )
+        self.directory.replace(Listing(name, ListingKind.ENTRY, address, data_centre))
+        return core
+
+    def add(self, name: str, data_centre: str, **settings: Any) -> Entry:
+        """Starts an instance with all its tasks."""
+        core = self.build(name, data_centre, **settings)
+        core.start()
+        return core
+
+    def add_feed(self, name: str, data_centre: str, **settings: Any) -> ConfigurationFeed:
+        """Starts the configuration feed of an instance and tells the others of the instance."""
+        self.build(name, data_centre, **settings)
+        for core in self.entries:
+            core.topology.set_instances([other.record for other in self.entries])
+        self.cores[name].feed.start()
+        return self.cores[name].feed
+
+    def kill(self, name: str) -> None:
+        """Ends an instance without notice; the list keeps it."""
+        self.cores.pop(name).close()
 
     def kill_member(self, index: int) -> None:
         """Takes a member off the network for good."""
@@ -114,61 +366,73 @@
             if other != data_centre:
                 self.network.cut(data_centre, other)
 
-    def list_leaving(self, index: int) -> None:
-        """Marks a member as leaving on the platform's list."""
-        member, data_centre = self.members[index], DATA_CENTRES[index]
-        kind, state = ListingKind.BACKEND_SERVER, ListingState.LEAVING
-        self.directory.replace(Listing(member.name, kind, member.name, data_centre, GROUP, state))
+    def lose(self, stage: str, call: str) -> list[str]:
+        """Drops the next connection at a stage of a call; gives the list of dropped ones."""
+        dropped: list[str] = []
+
+        async def hook(at: str, address: str, kind: str) -> None:
+            if (at, kind) == (stage, call) and not dropped:
+                dropped.append(address)
+                raise OutcomeUnknown(ResultCode.CONNECTION_LOST, "dropped by the test")
+
+        self.network.on_exchange = hook
+        return dropped
+
+    async def promote(self, index: int, term: int) -> None:
+        """Makes a member primary of a term, fencing every member that can be reached."""
+        for member in self.members:
+            if member.name not in self.network.down:
+                member.fence(term)
+        self.members[index].promote(term)
+
+    def executions(self, key: str) -> int:
+        """Log entries of the current primary that change a key."""
+        log = max(self.members, key=lambda m: m.status().at)._log
+        return sum(key in entry.changes for entry in log)
 
     async def write(self, data_centre: str, key: str, *, within: float = 1.0) -> Answer:
-        """Sends one write to the instance of a data centre."""
-        request = StatementRequest(
-            route="closures",
-            statement=Statement("PUT ? 1", [key]),
-            access=Access.WRITE,
-            request_id=f"id-{key}",
-            idempotent=False,
-            rank=Rank.URGENT,
-            caller="crew",
-            deadline=asyncio.get_running_loop().time() + within,
-        )
-        return await self.cores[data_centre].router.execute(request)
+        """Sends one urgent write to the instance of a data centre."""
+        fields = {"request_id": f"id-{key}", "rank": Rank.URGENT}
+        return await self.cores[data_centre].write(f"PUT {key} 1", deadline=within, **fields)
 
     async def gap(self, data_centre: str) -> float:
         """Seconds until the first acknowledged write."""
-        loop = asyncio.get_running_loop()
-        started = loop.time()
+        started = after(0)
         while True:
             try:
-                await self.write(data_centre, f"after-{loop.time()}")
+                await self.write(data_centre, f"after-{after(0)}")
             except WigeonpointError:
-                assert loop.time() - started < 20, "no write was acknowledged again"
+                assert after(0) - started < 20, "no write was acknowledged again"
             else:
-                return loop.time() - started
+                return after(0) - started
 
-    async def record(self) -> dict[str, object]:
+    async def record(self) -> dict[str, Any]:
         """The group record."""
         row = await self.tables.tables.read("groups", GROUP)
         return row.value if row is not None else {}
 
-    def _core(self, data_centre: str, detection: str) -> InstanceCore:
-        address = f"{data_centre}-entry"
-        self.network.data_centres[address] = data_centre
-        dispatcher = PeerDispatcher()
-        settings = Settings.model_validate(
-            {
-                "instance": {"id": address, "data_centre": data_centre},
-                "platform": {"address": "127.0.0.1:1"},
-                "session_keys": {"active": "k", "keys": {"k": "secret"}},
-                "peer_key": "peer-key-of-tests",
-                "detection": detection,
-            }
-        )
-        return InstanceCore(
-            settings,
-            InstanceRecord(address, address, data_centre),
-            platform=Platform(self.tables, MemoryObjects(), self.directory),
-            backend=FakeBackend(self.network, data_centre),
-            transport=FakeTransport(self.network, address, dispatcher),
-            dispatcher=dispatcher,
-        )
+    def views(self) -> dict[str, set[str]]:
+        """Ids of the instances that each instance holds for live."""
+        return {
+            name: {record.id for record in core.topology.instances}
+            for name, core in self.cores.items()
+        }
+
+    def agreed(self, *names: str) -> bool:
+        """Whether every instance holds exactly these for live."""
+        return all(view == set(names) for view in self.views().values())
+
+    async def wait_agreed(self, *names: str, limit: float) -> float:
+        """Waits for agreement; gives the seconds that it took."""
+        started = after(0)
+        while not self.agreed(*names):
+            assert after(0) - started < limit, self.views()
+            await asyncio.sleep(0.05)
+        return after(0) - started
+
+    def close(self) -> None:
+        """Ends everything."""
+        for core in self.entries:
+            core.close()
+        for member in self.members:
+            member.stop()
--- a/tests/test_configuration_edits.py
+++ b/tests/test_configuration_edits.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.configuration_fakes import POOL, ROUTE, FaultyTables, Fleet
+from tests.fleet import POOL, ROUTE, FaultyTables, Fleet
 from wigeonpoint.errors import ConfigurationRefused, ResultCode, StoreUnavailable
 from wigeonpoint.platform import Delete, Platform, TableTransaction
 from wigeonpoint.request import Rank
@@ -207,7 +207,7 @@
 
     async def test_first_start_accepts_the_rows_as_state_one(self) -> None:
         """Guards against a fresh deployment whose tables never come into force."""
-        async with Fleet({"chur": 3, "sargans": 3}) as fleet:
+        async with Fleet.with_feeds({"chur": 3, "sargans": 3}) as fleet:
             await fleet.tables.put("pools", plans=POOL)
             await fleet.tables.put("routes", closures=ROUTE)
             await asyncio.sleep(5)
@@ -216,7 +216,7 @@
 
     async def test_invalid_row_is_refused_then_corrected(self) -> None:
         """Guards against a wrong row that comes into force or blocks later edits for ever."""
-        async with Fleet({"chur": 3}) as fleet:
+        async with Fleet.with_feeds({"chur": 3}) as fleet:
             await fleet.tables.put("pools", plans=POOL)
             await fleet.tables.put("routes", closures=ROUTE)
             await asyncio.sleep(5)
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from tests.configuration_fakes import Fleet
+from tests.fleet import Fleet
 from wigeonpoint.errors import ConfigurationRefused, StoreUnavailable
 from wigeonpoint.platform import Delete, TableTransaction
 from wigeonpoint.version import Edit, RowChange, build_state
@@ -31,13 +31,16 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.loop = looptime.new_event_loop()
-        self.fleet = Fleet({"chur": 2, "sargans": 1})
+        self.loop = looptime.new_event_loop(noop_cycles=0)
         self.edits: list[Edit] = []
         self.seen: dict[str, int] = {}
-        self.run(self.fleet.__aenter__())
+        self.fleet = self.run(self.build())
         self.run(self.fleet.tables.put("pools", a={"group": "g"}))
 
+    async def build(self) -> Fleet:
+        """Starts the feeds inside the event loop."""
+        return Fleet.with_feeds({"chur": 2, "sargans": 1})
+
     def run(self, work: Any) -> Any:
         """Runs work on the virtual clock."""
         return self.loop.run_until_complete(work)
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -7,7 +7,7 @@
 import orjson
 import pytest
 
-from tests.configuration_fakes import POOL, ROUTE, FaultyTables, Fleet
+from tests.fleet import POOL, ROUTE, FaultyTables, Fleet
 from wigeonpoint.errors import ConfigurationRefused
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
 from wigeonpoint.process._configuration_history import ConfigurationHistory
@@ -24,8 +24,7 @@
 
 async def started(counts: dict[str, int]) -> Fleet:
     """A fleet with state 1 in force everywhere."""
-    fleet = Fleet(counts)
-    await fleet.__aenter__()
+    fleet = Fleet.with_feeds(counts)
     await fleet.tables.put("pools", plans=POOL)
     await fleet.tables.put("routes", closures=ROUTE)
     await asyncio.sleep(BOUND_S)
@@ -52,7 +51,7 @@
         fleet.tables.unavailable = True
         await asyncio.sleep(1.0)
         assert fleet.numbers == {2}
-        await fleet.__aexit__()
+        fleet.close()
 
     async def test_edit_with_a_lost_answer_is_in_force_at_once(self) -> None:
         """Guards against a state that is recognised as accepted and left to the pollers."""
@@ -61,7 +60,7 @@
         result = await fleet.feeds["chur-0"].edit(pool_edit(2))
         await asyncio.sleep(0.05)
         assert result.repeated and fleet.numbers == {2}
-        await fleet.__aexit__()
+        fleet.close()
 
     async def test_cut_off_data_centre_catches_up_after_the_heal(self) -> None:
         """Guards against a data centre that keeps an old state after a partition."""
@@ -76,7 +75,7 @@
         fleet.network.heal()  # the tables stay out of reach of sargans
         await asyncio.sleep(BOUND_S)
         assert fleet.numbers == {3}
-        await fleet.__aexit__()
+        fleet.close()
 
     async def test_noted_number_is_fetched(self) -> None:
         """Guards against a heartbeat whose number is ignored."""
@@ -89,7 +88,7 @@
         fleet.feeds["sargans-0"].note_number(2, "chur-0")
         await asyncio.sleep(0.01)
         assert fleet.feeds["sargans-0"].number == 2
-        await fleet.__aexit__()
+        fleet.close()
 
     async def test_stale_offers_are_not_applied(self) -> None:
         """Guards against an instance that goes back to an older state."""
@@ -102,7 +101,7 @@
         feed.note_number(1, "chur-1")
         await asyncio.sleep(1)
         assert fleet.numbers == {2}
-        await fleet.__aexit__()
+        fleet.close()
 
     def test_change_since_a_number_leads_to_the_state(self) -> None:
         """Guards against merged changes that miss a row, and a gap that is bridged silently."""
@@ -133,9 +132,9 @@
             await fleet.objects.put(name, orjson.dumps(stale))
         fleet.tables.unavailable = True
         fleet.directory.listings = []
-        feed = fleet.add("chur-9", "chur", peers=["sargans-1"])
+        feed = fleet.add_feed("chur-9", "chur", peers=["sargans-1"])
         assert await numbers_in_force(feed) == {0, 2}
-        await fleet.__aexit__()
+        fleet.close()
 
     async def test_start_waits_for_all_sources_before_a_stale_peer_counts(self) -> None:
         """Guards against a start that serves the state of the first peer that calls.
@@ -150,10 +149,10 @@
         fleet.objects._objects.clear()
         fleet.network.data_centres["flums-0"] = "flums"
         fleet.reach["flums"] = fleet.reach["sargans"]
-        feed = fleet.add("flums-0", "flums", peers=["chur-0", "sargans-0", "gone-0"])
+        feed = fleet.add_feed("flums-0", "flums", peers=["chur-0", "sargans-0", "gone-0"])
         feed.note_number(1, "sargans-0")
         assert await numbers_in_force(feed) == {0, 2}
-        await fleet.__aexit__()
+        fleet.close()
 
     async def test_tables_win_over_a_stale_peer(self) -> None:
         """Guards against a start that takes the first source instead of the highest number."""
@@ -164,9 +163,9 @@
         await fleet.feeds["chur-0"].edit(pool_edit(2))
         fleet.reach["flums"] = fleet.reach["chur"]
         fleet.objects._objects.clear()
-        feed = fleet.add("flums-0", "flums", peers=["sargans-0"])
+        feed = fleet.add_feed("flums-0", "flums", peers=["sargans-0"])
         assert await numbers_in_force(feed) == {0, 2}
-        await fleet.__aexit__()
+        fleet.close()
 
     async def test_snapshot_serves_when_nothing_else_responds(self) -> None:
         """Guards against a damaged snapshot that is taken, and an intact one that is not."""
@@ -175,10 +174,9 @@
         await asyncio.sleep(1)
         damaged = {**fleet.feeds["chur-0"].state.document, "number": 9, "routes": {}}
         await fleet.objects.put("configuration-snapshot-3", orjson.dumps(damaged))
-        await fleet.__aexit__()
-        alone = Fleet({"sargans": 1}, FaultyTables(unavailable=True))
-        alone.objects = fleet.objects
-        await alone.__aenter__()
+        fleet.close()
+        alone = Fleet(tables=FaultyTables(unavailable=True), objects=fleet.objects)
+        alone.add_feed("sargans-0", "sargans")
         await asyncio.sleep(BOUND_S)
         assert alone.numbers == {2}
-        await alone.__aexit__()
+        alone.close()
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -10,6 +10,7 @@
 from tests.fleet import Fleet
 from wigeonpoint.errors import WigeonpointError
 from wigeonpoint.events import Event
+from wigeonpoint.platform import ListingState
 
 BUDGET_S = 6.0
 
@@ -35,7 +36,7 @@
     """Guards against a service gap above the budget and against a lost acknowledged write."""
 
     async def test_killed_primary(self) -> None:
-        async with Fleet() as fleet:
+        async with await Fleet.serving() as fleet:
             fleet.kill_member(0)
             assert await fleet.gap("sargans") < BUDGET_S
             new = next(member for member in fleet.members[1:] if member.status().role == "primary")
@@ -43,12 +44,12 @@
             assert (await fleet.record())["term"] == 2
 
     async def test_single_watcher_detection(self) -> None:
-        async with Fleet("single") as fleet:
+        async with await Fleet.serving("single") as fleet:
             fleet.kill_member(0)
             assert await fleet.gap("gallen") < BUDGET_S
 
     async def test_primary_cut_off_with_callers_on_its_side(self) -> None:
-        async with Fleet() as fleet:
+        async with await Fleet.serving() as fleet:
             fleet.cut_off("chur")
             lost = asyncio.create_task(fleet.write("chur", "lost", within=8.0))
             assert await fleet.gap("sargans") < BUDGET_S
@@ -63,7 +64,7 @@
             await fleet.write("chur", "again", within=2.0)
 
     async def test_pause_shorter_than_detection_changes_nothing(self) -> None:
-        async with Fleet() as fleet:
+        async with await Fleet.serving() as fleet:
             fleet.network.down.add(fleet.members[0].name)
             await asyncio.sleep(1.0)
             fleet.network.down.clear()
@@ -71,7 +72,7 @@
             assert await fleet.record() == {}
 
     async def test_second_failure_after_the_first(self) -> None:
-        async with Fleet() as fleet:
+        async with await Fleet.serving() as fleet:
             fleet.kill_member(0)
             await fleet.gap("sargans")
             await asyncio.sleep(2.0)
@@ -93,7 +94,7 @@
 
     @pytest.mark.parametrize(("detection", "moved"), [("single", True), ("second_opinion", False)])
     async def test_one_link_cut(self, detection: str, moved: bool) -> None:
-        async with Fleet(detection) as fleet:
+        async with await Fleet.serving(detection) as fleet:
             fleet.network.cut("chur", "sargans")
             await asyncio.sleep(6.0)
             assert (await fleet.record() != {}) is moved
@@ -114,7 +115,7 @@
         ],
     )
     async def test_claimant_dies_after_a_step(self, event: Event) -> None:
-        async with Fleet() as fleet:
+        async with await Fleet.serving() as fleet:
             logger, end = logging.getLogger("wigeonpoint"), _EndOfClaimant(event)
             logger.addHandler(end)
             level = logger.level
@@ -131,7 +132,7 @@
             assert record["phase"] == "stable"
 
     async def test_candidate_dies(self) -> None:
-        async with Fleet() as fleet:
+        async with await Fleet.serving() as fleet:
             fleet.kill_member(0)
             for _ in range(10_000):
                 if (await fleet.record()).get("phase") == "promoting":
@@ -148,8 +149,8 @@
 
     @pytest.mark.parametrize("lost", [1, 2, 3])
     async def test_lost_answers_of_the_store(self, lost: int) -> None:
-        async with Fleet() as fleet:
-            fleet.tables.answers_to_lose = lost
+        async with await Fleet.serving() as fleet:
+            fleet.tables.lost_answers = lost
             fleet.kill_member(0)
             assert await fleet.gap("sargans") < BUDGET_S
 
@@ -158,15 +159,15 @@
     """Guards against a platform outage that stops statements or starts a promotion."""
 
     async def test_writes_go_on_and_promotion_waits(self) -> None:
-        async with Fleet() as fleet:
-            fleet.tables.down = True
+        async with await Fleet.serving() as fleet:
+            fleet.tables.unavailable = True
             for number in range(5):
                 await fleet.write("gallen", f"during-{number}")
                 await asyncio.sleep(1.0)
             fleet.kill_member(0)
             await asyncio.sleep(5.0)
             assert all(member.status().fenced_term == 1 for member in fleet.members)
-            fleet.tables.down = False
+            fleet.tables.unavailable = False
             assert await fleet.gap("gallen") < BUDGET_S
 
 
@@ -175,9 +176,9 @@
 
     @pytest.mark.parametrize("listed", [True, False])
     async def test_handover(self, listed: bool) -> None:
-        async with Fleet() as fleet:
+        async with await Fleet.serving() as fleet:
             if listed:
-                fleet.list_leaving(0)
+                fleet.list_member(fleet.members[0].name, ListingState.LEAVING)
             else:
                 fleet.members[0].options.leaving = True
             await asyncio.sleep(2.0)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -3,20 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections import Counter
-from collections.abc import AsyncIterator
 
 import pytest
-import pytest_asyncio
 
 from tests.fakes import FakeBackend
-from tests.membership_fleet import Fleet
+from tests.fleet import Entry, Fleet
 from wigeonpoint.connection import BackendPool
 from wigeonpoint.errors import NotRun, ResultCode
-from wigeonpoint.platform import Listing, ListingKind, ListingState
-from wigeonpoint.process import InstanceCore
-from wigeonpoint.request import Access, Answer, Rank, Statement, StatementRequest
+from wigeonpoint.platform import ListingState
 from wigeonpoint.standins import MemberOptions
 
 LIMIT = 4
@@ -24,55 +19,19 @@
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
-@pytest_asyncio.fixture
-async def fleet() -> AsyncIterator[Fleet]:
-    """An empty fleet; its instances start in `_settle`, on the virtual clock of the test."""
-    random.seed(11)
-    fleet = Fleet()
-    yield fleet
-    fleet.close()
-
-
 async def _settle(fleet: Fleet) -> None:
     """Starts three instances before a group of three members with few connections."""
-    await fleet.add_group(["chur"] * 3, MemberOptions(connection_limit=LIMIT, statement_ms=5))
+    fleet.add_members(["chur"] * 3, MemberOptions(connection_limit=LIMIT, statement_ms=5))
+    await fleet.put_rows()
     for name in NAMES:
         fleet.add(name, "chur")
     await fleet.wait_agreed(*NAMES, limit=20)
     await asyncio.sleep(3)
 
 
-async def _run(
-    core: InstanceCore, text: str, *, write: bool, session: str | None = None, limit: float = 5.0
-) -> Answer:
-    return await core.router.execute(
-        StatementRequest(
-            route="r",
-            statement=Statement(text, []),
-            access=Access.WRITE if write else Access.READ,
-            request_id=None,
-            idempotent=False,
-            rank=Rank.STANDARD,
-            caller="c",
-            deadline=asyncio.get_running_loop().time() + limit,
-            max_age_ms=None,
-            session=session,
-        )
-    )
-
-
-async def _begin(fleet: Fleet, limit: float) -> tuple[str, Answer, float]:
-    deadline = asyncio.get_running_loop().time() + limit
-    transactions = fleet.cores["chur-1"].transactions
-    number, answer = await transactions.begin(
-        "r", rank=Rank.STANDARD, caller="c", deadline=deadline, session=None
-    )
-    return number, answer, deadline
-
-
-def _owner(fleet: Fleet, server_id: str = "g-0") -> str:
+def _owner(fleet: Fleet, server_id: str = "plans-0") -> str:
     core = next(iter(fleet.cores.values()))
-    server = core.topology.group("g").server(server_id)
+    server = core.topology.group("plans").server(server_id)
     assert server is not None
     return core.topology.owner_of(server).id
 
@@ -90,7 +49,7 @@
         async def add(worker: int) -> None:
             while not ending:
                 core = fleet.cores[NAMES[worker % len(NAMES)]]
-                await _run(core, f"ADD k{worker} 1", write=True)
+                await core.write(f"ADD k{worker} 1", deadline=5.0)
                 acknowledged[worker] += 1
 
         workers = [asyncio.create_task(add(worker)) for worker in range(24)]
@@ -99,19 +58,19 @@
         await asyncio.sleep(4)
         ending = True
         await asyncio.gather(*workers)
-        member = fleet.network.members["g-0"]
+        member = fleet.network.members["plans-0"]
         assert _owner(fleet) != former
         assert {f"k{worker}": count for worker, count in acknowledged.items()} == member.data
         assert min(acknowledged.values()) > 10
         assert member.peak_connections <= LIMIT
         await asyncio.sleep(2)
-        assert "g-0" not in fleet.cores[former].owners.owned_servers
+        assert "plans-0" not in fleet.cores[former].owners.owned_servers
 
     async def test_new_owner_waits_for_the_former_owners_connections(self, fleet: Fleet) -> None:
         """Guards against a refused connection that fails the request before its deadline."""
         await _settle(fleet)
-        member, loop = fleet.network.members["g-0"], asyncio.get_running_loop()
-        pool = BackendPool(FakeBackend(fleet.network, "chur"), "g-0", limit=LIMIT)
+        member, loop = fleet.network.members["plans-0"], asyncio.get_running_loop()
+        pool = BackendPool(FakeBackend(fleet.network, "chur"), "plans-0", limit=LIMIT)
         member.connections += LIMIT  # held by a former owner
         started = loop.time()
         loop.call_later(1.0, setattr, member, "connections", 0)
@@ -123,20 +82,15 @@
         """Guards against a transaction that is cut off when ownership moves."""
         await _settle(fleet)
         former, core = _owner(fleet), fleet.cores["chur-1"]
-        number, begun, deadline = await _begin(fleet, 30)
+        number, begun = await core.begin(deadline=30)
         await fleet.cores[former].swim.announce_leaving()
         await asyncio.sleep(4)
-        put = Statement("PUT t 1", [])
-        await core.transactions.execute(
-            number, put, Access.WRITE, session=begun.session, deadline=deadline
-        )
-        await core.transactions.commit(
-            number, request_id=None, session=begun.session, deadline=deadline
-        )
+        await core.put(number, "PUT t 1", begun.session)
+        await core.commit(number, begun.session)
         await asyncio.sleep(2)
-        assert fleet.network.members["g-0"].data["t"] == "1"
+        assert fleet.network.members["plans-0"].data["t"] == "1"
         assert fleet.cores[former].owners.owned_servers == []
-        assert fleet.network.members["g-0"].connections == 0
+        assert fleet.network.members["plans-0"].connections == 0
 
     async def test_begin_waits_for_the_views_to_agree(self, fleet: Fleet) -> None:
         """Guards against a begin that is refused because its entry still has the former owner."""
@@ -145,13 +99,13 @@
         known = topology.instances
         topology.set_instances([record for record in known if record.id != owner])
         asyncio.get_running_loop().call_later(0.5, topology.set_instances, known)
-        await _begin(fleet, 5)
+        await fleet.cores["chur-1"].begin(deadline=5)
         assert sum(core.owners.open_transactions for core in fleet.cores.values()) == 1
 
 
-async def _serving(core: InstanceCore, session: str | None) -> set[str | None]:
+async def _serving(core: Entry, session: str | None) -> set[str | None]:
     """Members that serve twenty reads of a session; replicas are chosen at random."""
-    answers = [await _run(core, "GET a", write=False, session=session) for _ in range(20)]
+    answers = [await core.run("GET a", session=session, deadline=5.0) for _ in range(20)]
     return {answer.served_by for answer in answers}
 
 
@@ -163,19 +117,17 @@
         """Guards against reads at a server that is listed as leaving or reports it."""
         await _settle(fleet)
         core = fleet.cores["chur-1"]
-        session = (await _run(core, "PUT a 1", write=True)).session
+        session = (await core.write("PUT a 1", deadline=5.0)).session
         await asyncio.sleep(0.5)
-        assert "g-1" in await _serving(core, session)
-        kind = ListingKind.BACKEND_SERVER
+        assert "plans-1" in await _serving(core, session)
         if listed:
-            leaving = ListingState.LEAVING
-            fleet.directory.replace(Listing("g-1", kind, "g-1", "chur", "g", leaving))
+            fleet.list_member("plans-1", ListingState.LEAVING)
         else:
-            fleet.network.members["g-1"].options.leaving = True
+            fleet.network.members["plans-1"].options.leaving = True
         await asyncio.sleep(3)
         for name in NAMES:
-            assert "g-1" not in await _serving(fleet.cores[name], session)
-        assert "g-2" in await _serving(core, session)
+            assert "plans-1" not in await _serving(fleet.cores[name], session)
+        assert "plans-2" in await _serving(core, session)
 
 
 class TestDrain:
@@ -184,8 +136,8 @@
     async def test_waits_for_callers_requests_and_transactions(self, fleet: Fleet) -> None:
         """Guards against closing while the balancer still sends or work is in progress."""
         await _settle(fleet)
-        core, loop = fleet.cores["chur-1"], asyncio.get_running_loop()
-        number, begun, _ = await _begin(fleet, 30)
+        core = fleet.cores["chur-1"]
+        number, begun = await core.begin(deadline=30)
         holder = fleet.cores[_owner(fleet)]
         draining = asyncio.create_task(holder.finish_work())
         for _ in range(5):
@@ -199,9 +151,7 @@
         with pytest.raises(NotRun) as refused:
             holder.drain.require_accepting()
         assert refused.value.code is ResultCode.INSTANCE_STOPPING
-        await core.transactions.commit(
-            number, request_id=None, session=begun.session, deadline=loop.time() + 5
-        )
+        await core.commit(number, begun.session)
         await asyncio.sleep(0.2)
         assert draining.done()
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from collections.abc import AsyncIterator
 
 import pytest
-import pytest_asyncio
 
-from tests.membership_fleet import Fleet
+from tests.fleet import Fleet
 from wigeonpoint.platform import Listing, ListingKind, ListingState
 from wigeonpoint.process._swim_messages import ListVersion, PingMessage, Versions
 from wigeonpoint.version import MemberDelta, MemberState
@@ -19,15 +16,6 @@
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
-@pytest_asyncio.fixture
-async def fleet() -> AsyncIterator[Fleet]:
-    """An empty fleet; its instances start in `_settle`, on the virtual clock of the test."""
-    random.seed(7)
-    fleet = Fleet()
-    yield fleet
-    fleet.close()
-
-
 async def _settle(fleet: Fleet) -> None:
     """Starts two data centres and waits until they agree on each other."""
     for name in [*CHUR, *SARGANS]:
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
 from typing import Any
 
 import pytest
 
-from tests.entries import Fleet
+from tests.fleet import Fleet
 from wigeonpoint.connection import CancelMessage, CancelReply, ExecuteMessage, RecordedMessage
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
 from wigeonpoint.process._work_sender import WorkSender
@@ -20,11 +19,9 @@
 
 
 @pytest.fixture
-async def fleet() -> Iterator[Fleet]:
+def fleet(idle_fleet: Fleet) -> Fleet:
     """Three data centres with one instance and one member each."""
-    fleet = Fleet.build()
-    yield fleet
-    fleet.close()
+    return idle_fleet
 
 
 class TestLostConnections:
@@ -316,7 +313,7 @@
 
     async def test_lost_connections_are_given_back(self) -> None:
         """Guards against a pool that counts closed connections until none is left."""
-        fleet = Fleet.build(options=MemberOptions(connection_limit=2))
+        fleet = Fleet.idle(options=MemberOptions(connection_limit=2))
         for _ in range(6):
             fleet.lose("during", "execute")
             await fleet.entries[1].write("ADD n 1")
--- a/tests/test_promotion_machine.py
+++ b/tests/test_promotion_machine.py
@@ -168,7 +168,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.loop = looptime.new_event_loop()
+        self.loop = looptime.new_event_loop(noop_cycles=0)
         self.run(self._set_up())
 
     def run(self, work: Coroutine[Any, Any, Any]) -> Any:
@@ -227,7 +227,7 @@
     @rule()
     def lose_answer(self) -> None:
         """Loses the answer to the next change of the record."""
-        self.tables.answers_to_lose = 1
+        self.tables.lost_answers = 1
 
     @rule(index=MEMBERS)
     def cut_off(self, index: int) -> None:
--- a/tests/test_reads.py
+++ b/tests/test_reads.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import random
-from collections.abc import Iterator
+from collections.abc import AsyncIterator
 
 import pytest
 
-from tests.entries import SEED, Fleet
+from tests.fleet import SEED, Fleet
 from wigeonpoint.backend import LogPosition
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
 from wigeonpoint.process._position_samples import PositionSample, PositionSamples
@@ -18,11 +18,10 @@
 
 
 @pytest.fixture
-async def fleet() -> Iterator[Fleet]:
+async def fleet() -> AsyncIterator[Fleet]:
     """Three data centres; writes need only the primary, so that replicas may be far behind."""
-    fleet = Fleet.build(durability=Durability.PRIMARY)
-    yield fleet
-    fleet.close()
+    async with Fleet.idle(durability=Durability.PRIMARY) as fleet:
+        yield fleet
 
 
 def lag_replicas(fleet: Fleet, *seconds: float) -> None:
--- a/tests/test_transaction_machine.py
+++ b/tests/test_transaction_machine.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from tests.entries import Fleet
+from tests.fleet import Fleet
 from wigeonpoint.errors import NotRun, OutcomeUnknown, WigeonpointError
 
 STAGES = st.sampled_from(["before", "during", "after"])
@@ -27,7 +27,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.loop = looptime.new_event_loop()
+        self.loop = looptime.new_event_loop(noop_cycles=0)
         self.open: list[tuple[str, str, str]] = []
         self.outcomes: dict[str, str] = {}
         self.term = 1
@@ -36,7 +36,7 @@
     @initialize()
     def build(self) -> None:
         async def build() -> Fleet:
-            return Fleet.build()
+            return Fleet.idle()
 
         self.fleet = self._run(build())
 
--- a/tools/measure_replica_reads.py
+++ b/tools/measure_replica_reads.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 import looptime
-from tests.entries import KEYS, SEED, Entry, Fleet
+from tests.fleet import KEYS, SEED, Entry, Fleet
 
 from wigeonpoint.backend import LogPosition
 from wigeonpoint.connection import SessionTokens, TokenSigner
@@ -71,7 +71,7 @@
 
     async def run(self) -> dict[str, Any]:
         """Runs the workload and gives its figures."""
-        self._fleet = Fleet.build(durability=Durability.PRIMARY)
+        self._fleet = Fleet.idle(durability=Durability.PRIMARY)
         self._fleet.network.on_exchange = self._count_statement
         background = [asyncio.create_task(work()) for work in (self._record, self._change_lag)]
         await asyncio.sleep(0.01)
