Read metrics from the parts that count, and share deadline arithmetic

The recorder of requests counted reads that the router counts too; the metrics now read the router's. Counters of pools, queues, retries and messages that were removed or held back had no scrape. A gauge of the library keeps labels for ever, so that a server that moved away would keep its last values; each scrape fills a registry of its own. tests/test_metrics.py failed until the registry was built per scrape. _deadlines.py replaces the deadline arithmetic of owner, owner service and attempt.

--- a/src/wigeonpoint/process/_attempt.py
+++ b/src/wigeonpoint/process/_attempt.py
@@ -8,6 +8,7 @@
 from wigeonpoint.backend import LogPosition
 from wigeonpoint.connection import Session
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.process._deadlines import remaining_s
 from wigeonpoint.request import Access, RetryBudget, StatementRequest
 from wigeonpoint.version import GroupView, Pool, Route
 
@@ -71,15 +72,8 @@
 
     @property
     def remaining(self) -> float:
-        """Seconds until the deadline.
-
-        Raises:
-            NotRun: DEADLINE_UNREACHABLE when it has passed; checked before every send.
-        """
-        remaining = self.request.deadline - asyncio.get_running_loop().time()
-        if remaining <= 0:
-            raise NotRun(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed before sending")
-        return remaining
+        """Seconds until the deadline; raises DEADLINE_UNREACHABLE when it has passed."""
+        return remaining_s(self.request.deadline)
 
     def record(self, error: WigeonpointError) -> WigeonpointError:
         """Takes the failure of an attempt.
--- a/src/wigeonpoint/process/_caller_api.py
+++ b/src/wigeonpoint/process/_caller_api.py
@@ -22,7 +22,6 @@
 from wigeonpoint.process._core import InstanceCore
 from wigeonpoint.process._request_recorder import objective_of
 from wigeonpoint.request import (
-    Access,
     Answer,
     BeginBody,
     EndBody,
@@ -196,8 +195,6 @@
             session=body.session,
         )
         answer = await self.measured(request.route, request.rank, self.core.router.execute(request))
-        if request.access is Access.READ:
-            self.core.recorder.record_read(from_replica=answer.from_replica)
         self.answer(answer)
 
 
--- /dev/null
+++ b/src/wigeonpoint/process/_deadlines.py
@@ -0,0 +1,24 @@
+"""Deadlines as event-loop times, in seconds; messages carry the time that remains instead."""
+
+from __future__ import annotations
+
+import asyncio
+
+from wigeonpoint.errors import NotRun, ResultCode
+
+
+def deadline_in(remaining_ms: float) -> float:
+    """Deadline of a message that arrives now."""
+    return asyncio.get_running_loop().time() + remaining_ms / 1000
+
+
+def remaining_s(deadline: float) -> float:
+    """Seconds until a deadline.
+
+    Raises:
+        NotRun: DEADLINE_UNREACHABLE when it has passed; checked before every send.
+    """
+    remaining = deadline - asyncio.get_running_loop().time()
+    if remaining <= 0:
+        raise NotRun(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed before sending")
+    return remaining
--- a/src/wigeonpoint/process/_metrics.py
+++ b/src/wigeonpoint/process/_metrics.py
@@ -14,7 +14,8 @@
 class InstanceMetrics:
     """The metrics of one instance.
 
-    Values are read when a scrape asks for them, so that requests do not pay for the registry.
+    Values are read when a scrape asks for them, so that requests do not pay for the registry. Each
+    scrape fills a registry of its own: a gauge cannot drop the labels of a server that moved away.
 
     Args:
         core: Parts of the instance.
@@ -22,24 +23,6 @@
 
     def __init__(self, core: InstanceCore) -> None:
         self._core = core
-        self._registry = Registry()
-        self._requests = self._gauge(
-            "wigeonpoint_requests_total", "Answered requests by rank, outcome and code."
-        )
-        self._latency = self._gauge(
-            "wigeonpoint_latency_milliseconds", "Latency by rank and percentile since the start."
-        )
-        self._reads = self._gauge("wigeonpoint_reads_total", "Answered reads by kind of member.")
-        self._configuration = self._gauge(
-            "wigeonpoint_configuration_number", "Number of the configuration in force."
-        )
-        self._instances = self._gauge(
-            "wigeonpoint_live_instances", "Live instances that this one knows."
-        )
-        self._terms = self._gauge("wigeonpoint_group_term", "Highest known term by group.")
-        self._transactions = self._gauge(
-            "wigeonpoint_open_transactions", "Open transactions at this owner."
-        )
 
     def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
         """Renders the metrics.
@@ -50,28 +33,70 @@
         Returns:
             Body and headers.
         """
-        self._gather()
-        return render(self._registry, accept)
-
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(name, text, registry=self._registry)
-
-    def _gather(self) -> None:
-        recorder = self._core.recorder
+        registry = Registry()
+        self._add_requests(registry)
+        self._add_views(registry)
+        self._add_servers(registry)
+        return render(registry, accept)
+
+    def _add_requests(self, registry: Registry) -> None:
+        recorder, router = self._core.recorder, self._core.router
+        text = "Answered requests by rank, outcome and code."
+        requests = Gauge("wigeonpoint_requests_total", text, registry=registry)
         for key, count in recorder.requests.items():
             labels = {"rank": str(key.rank), "outcome": str(key.outcome), "code": key.code.label}
-            self._requests.set(labels, count)
+            requests.set(labels, count)
+        text = "Latency by rank and percentile since the start."
+        latency = Gauge("wigeonpoint_latency_milliseconds", text, registry=registry)
         for rank in Rank:
             for percentile in PERCENTILES:
                 labels = {"rank": str(rank), "percentile": f"{percentile:g}"}
-                self._latency.set(labels, recorder.latency_ms(rank, percentile))
-        self._reads.set({"member": "replica"}, recorder.replica_reads)
-        self._reads.set({"member": "primary"}, recorder.primary_reads)
-        self._configuration.set({}, self._core.feed.configuration.number)
-        self._instances.set({}, len(self._core.topology.instances))
-        for group in self._core.topology.groups:
-            self._terms.set({"group": group.name}, group.term)
-        self._transactions.set({}, self._core.owners.open_transactions)
+                latency.set(labels, recorder.latency_ms(rank, percentile))
+        reads = Gauge("wigeonpoint_reads_total", "Reads by kind of member.", registry=registry)
+        reads.set({"member": "replica"}, router.replica_reads)
+        reads.set({"member": "primary"}, router.reads_done - router.replica_reads)
+        text = "Retries that the budgets of the routes allowed or refused."
+        retries = Gauge("wigeonpoint_retries_total", text, registry=registry)
+        retries.set({"result": "allowed"}, router.budgets.retries)
+        retries.set({"result": "refused"}, router.budgets.refusals)
+        text = "Messages removed by their owner, or held back after it refused for overload."
+        unsent = Gauge("wigeonpoint_unsent_messages_total", text, registry=registry)
+        unsent.set({"reason": "cancelled"}, router.cancelled)
+        unsent.set({"reason": "overload"}, self._core.hints.refused)
+
+    def _add_views(self, registry: Registry) -> None:
+        topology = self._core.topology
+        for name, text, value in (
+            ("configuration_number", "Configuration in force.", self._core.feed.number),
+            ("live_instances", "Live instances that this one knows.", len(topology.instances)),
+            ("open_transactions", "Transactions here.", self._core.owners.open_transactions),
+        ):
+            Gauge(f"wigeonpoint_{name}", text, registry=registry).set({}, value)
+        text = "Highest known term by group."
+        terms = Gauge("wigeonpoint_group_term", text, registry=registry)
+        for group in topology.groups:
+            terms.set({"group": group.name}, group.term)
+
+    def _add_servers(self, registry: Registry) -> None:
+        text = "Statements that wait, that run and that may run, by backend server."
+        statements = Gauge("wigeonpoint_queue_statements", text, registry=registry)
+        text = "Connections by backend server and use."
+        connections = Gauge("wigeonpoint_backend_connections", text, registry=registry)
+        text = "Connections opened and refused so far, by backend server."
+        connects = Gauge("wigeonpoint_backend_connects_total", text, registry=registry)
+        for owned in self._core.owners.owned:
+            server, queue, pool = owned.server.id, owned.queue, owned.pool
+            for gauge, label, values in (
+                (statements, "state", _values(queue, "waiting", "running", "limit")),
+                (connections, "use", _values(pool, "open", "held", "pinned")),
+                (connects, "result", _values(pool, "opened", "refused")),
+            ):
+                for name, value in values.items():
+                    gauge.set({"server": server, label: name}, value)
+
+
+def _values(part: object, *names: str) -> dict[str, int]:
+    return {name: getattr(part, name) for name in names}
 
 
 class MetricsHandler(RequestHandler):
--- a/src/wigeonpoint/process/_owner.py
+++ b/src/wigeonpoint/process/_owner.py
@@ -20,6 +20,7 @@
 )
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
 from wigeonpoint.process._concurrency import AdaptiveLimit, FixedLimit
+from wigeonpoint.process._deadlines import deadline_in, remaining_s
 from wigeonpoint.process._rank_queue import RankQueue
 from wigeonpoint.process._schedule import QueueEntry, RankedSchedule, Schedule
 from wigeonpoint.request import Rank
@@ -96,7 +97,7 @@
 
     async def execute(self, message: ExecuteMessage) -> ExecuteReply:
         """Runs a statement and has it confirmed where the message asks for it."""
-        deadline = _deadline(message.work)
+        deadline = deadline_in(message.work.remaining_ms)
         async with self._admit(message.work, deadline, message.message_id) as entry:
             connection = await self._pool.acquire(deadline=deadline)
             answer = await self._run(connection, message, deadline, entry)
@@ -114,10 +115,10 @@
 
     async def recorded(self, message: RecordedMessage) -> BackendAnswer:
         """Looks a request id up and has the answer, also that of absence, confirmed."""
-        deadline = _deadline(message.work)
+        deadline = deadline_in(message.work.remaining_ms)
         connection = await self._pool.acquire(deadline=deadline)
         try:
-            answer = await connection.recorded(message.request_id, timeout=_remaining(deadline))
+            answer = await connection.recorded(message.request_id, timeout=remaining_s(deadline))
         finally:
             self._pool.release(connection)
         await self.confirm(answer.at, Durability.MAJORITY, deadline)
@@ -125,13 +126,13 @@
 
     async def begin(self, message: BeginMessage, transactions: Transactions) -> OpenTransaction:
         """Opens a transaction on a connection of its own."""
-        deadline = _deadline(message.work)
+        deadline = deadline_in(message.work.remaining_ms)
         # The connection is taken before the slot, so that waiting for one holds no slot.
         connection = await self._pool.acquire_pinned(deadline=deadline)
         handed_over = False
         try:
             async with self._admit(message.work, deadline, message.message_id) as entry:
-                timeout = _remaining(deadline)
+                timeout = remaining_s(deadline)
                 entry.mark_sent()
                 handed_over = True
                 return await transactions.begin(
@@ -185,7 +186,7 @@
         entry: QueueEntry,
     ) -> BackendAnswer:
         try:
-            timeout = _remaining(deadline)
+            timeout = remaining_s(deadline)
             entry.mark_sent()
             return await connection.execute(message.exchange, timeout=timeout)
         except asyncio.CancelledError:
@@ -203,15 +204,3 @@
             raise
         finally:
             self._pool.release(connection)
-
-
-def _deadline(work: WorkDetails) -> float:
-    return asyncio.get_running_loop().time() + work.remaining_ms / 1000
-
-
-def _remaining(deadline: float) -> float:
-    """Seconds until a deadline; raises DEADLINE_UNREACHABLE when it has passed."""
-    remaining = deadline - asyncio.get_running_loop().time()
-    if remaining <= 0:
-        raise NotRun(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed before the work ran")
-    return remaining
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -25,6 +25,7 @@
     WorkDetails,
 )
 from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.process._deadlines import deadline_in
 from wigeonpoint.process._handover import Handover
 from wigeonpoint.process._owner import DEFAULT_CONNECTIONS, OwnedServer
 from wigeonpoint.process._topology import Topology
@@ -59,6 +60,11 @@
         """Number of open transactions."""
         return self._transactions.count
 
+    @property
+    def owned(self) -> list[OwnedServer]:
+        """Queues and connection pools of the backend servers that this instance works for."""
+        return list(self._owned.values())
+
     @property
     def owned_servers(self) -> list[str]:
         """Backend servers that this instance holds state for."""
@@ -107,7 +113,7 @@
         """Runs a statement of an open transaction; its rows are provisional until the commit."""
         transaction = self._transactions.find(message.number, message.session_id)
         owned = self._owned[transaction.server_id]
-        deadline = asyncio.get_running_loop().time() + message.remaining_ms / 1000
+        deadline = deadline_in(message.remaining_ms)
         async with owned.slot(transaction, deadline):
             answer = await self._transactions.execute(
                 transaction, message.exchange, timeout=message.remaining_ms / 1000
@@ -118,7 +124,7 @@
         """Commits a transaction and has the commit confirmed."""
         transaction = self._transactions.find(message.number, message.session_id)
         owned = self._owned[transaction.server_id]
-        deadline = asyncio.get_running_loop().time() + message.remaining_ms / 1000
+        deadline = deadline_in(message.remaining_ms)
         answer = await self._transactions.commit(
             transaction, message.request_id, timeout=message.remaining_ms / 1000
         )
--- a/src/wigeonpoint/process/_request_recorder.py
+++ b/src/wigeonpoint/process/_request_recorder.py
@@ -1,4 +1,4 @@
-"""Counts of caller requests: outcomes, latency by rank, replica reads and service-level burn."""
+"""Counts of caller requests: outcomes, latency by rank and service-level burn."""
 
 from __future__ import annotations
 
@@ -32,8 +32,6 @@
 
     def __init__(self) -> None:
         self.requests: Counter[RequestKey] = Counter()
-        self.replica_reads = 0
-        self.primary_reads = 0
         self._burn = BurnRecorder()
         self._latency = {
             rank: HdrHistogram(LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
@@ -71,13 +69,6 @@
             now = asyncio.get_running_loop().time()
             self._burn.record(route, rank, good=good, now=now)
 
-    def record_read(self, *, from_replica: bool) -> None:
-        """Counts a read that was answered."""
-        if from_replica:
-            self.replica_reads += 1
-        else:
-            self.primary_reads += 1
-
     def latency_ms(self, rank: Rank, percentile: float) -> float:
         """Latency at a percentile (0 to 100), in milliseconds."""
         value: int = self._latency[rank].get_value_at_percentile(percentile)
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,39 @@
+"""Metrics of an instance."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.fleet import Entry, Fleet
+from wigeonpoint.process._metrics import InstanceMetrics
+
+KINDS = ("primary", "replica")
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+
+def scraped(metrics: InstanceMetrics) -> dict[str, float]:
+    """Values of one scrape by name and labels."""
+    lines = metrics.render([])[0].decode().splitlines()
+    pairs = (line.rsplit(" ", 1) for line in lines if line and not line.startswith("#"))
+    return {name: float(value) for name, value in pairs}
+
+
+class TestInstanceMetrics:
+    """Guards against counters that no scrape shows, and counts of servers that moved away."""
+
+    async def test_counters_of_the_parts(self, idle_fleet: Fleet) -> None:
+        entry: Entry = idle_fleet.entries[0]
+        metrics = InstanceMetrics(entry)
+        idle_fleet.lose("before", "execute")
+        session = (await entry.write("PUT a 1")).session
+        await entry.run("GET a", session=session)
+        values = scraped(metrics)
+        assert values['wigeonpoint_retries_total{result="allowed"}'] == 1
+        assert sum(values[f'wigeonpoint_reads_total{{member="{m}"}}'] for m in KINDS) == 1
+        assert values['wigeonpoint_unsent_messages_total{reason="cancelled"}'] == 0
+        server = 'server="plans-0"'
+        assert values[f'wigeonpoint_backend_connects_total{{result="opened",{server}}}'] == 2
+        assert values[f'wigeonpoint_backend_connections{{{server},use="open"}}'] == 1
+        assert values[f'wigeonpoint_queue_statements{{{server},state="waiting"}}'] == 0
+        entry.owners._owned.clear()
+        assert not any(server in name for name in scraped(metrics))
