--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,29 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import random
-from collections.abc import AsyncIterator
 
 import pytest
-import pytest_asyncio
 
-from tests.membership_fleet import Fleet
+from tests.fleet import Fleet
 from wigeonpoint.platform import Listing, ListingKind, ListingState
 from wigeonpoint.process._swim_messages import ListVersion, PingMessage, Versions
 from wigeonpoint.version import MemberDelta, MemberState
 
 CHUR = ["chur-1", "chur-2", "chur-3", "chur-4"]
 SARGANS = ["sargans-1", "sargans-2", "sargans-3"]
-pytestmark = pytest.mark.looptime
-
-
-@pytest_asyncio.fixture
-async def fleet() -> AsyncIterator[Fleet]:
-    """An empty fleet; its instances start in `_settle`, on the virtual clock of the test."""
-    random.seed(7)
-    fleet = Fleet()
-    yield fleet
-    fleet.close()
+pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
 async def _settle(fleet: Fleet) -> None:
