Count confirmations among the recorded members too

Cause: a platform list that leaves members out made the majority of a confirmation smaller, and a longer list let it miss the majority that a promotion fences. Change: a confirmation needs a majority of the listed and of the recorded members; announcements carry the recorded members, and while no record is known the largest list seen stands in, also for the first claim. Members that the list leaves out are still asked. Conclusion: a short or long list no longer lets a replaced primary acknowledge, where the record, an announcement or a full list was seen.

--- a/src/wigeonpoint/connection/_messages.py
+++ b/src/wigeonpoint/connection/_messages.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from wigeonpoint.backend import Exchange, LogPosition
+from wigeonpoint.connection._statement_sequence import StatementSequence
 from wigeonpoint.request import Rank
 from wigeonpoint.version import Durability
 
@@ -125,22 +126,25 @@
 
 @dataclass(frozen=True, slots=True)
 class StatementMessage:
-    """Runs a statement in an open transaction."""
+    """Runs a statement in an open transaction; without a sequence its place is not checked."""
 
     number: str
     session_id: str
     exchange: Exchange
     remaining_ms: float
+    sequence: StatementSequence | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class CommitMessage:
-    """Commits an open transaction under a request id."""
+    """Commits an open transaction under a request id; the pool's row decides its durability."""
 
     number: str
     session_id: str
     request_id: str
     remaining_ms: float
+    sequence: StatementSequence | None = None
+    pool: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -182,12 +186,14 @@
         server_id: The new primary.
         term: Its term.
         history: Pairs of term and start position, oldest first.
+        members: Members that the group record names for the term.
     """
 
     group: str
     server_id: str
     term: int
     history: list[tuple[int, int]]
+    members: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/process/_watcher.py
+++ b/src/wigeonpoint/process/_watcher.py
@@ -64,6 +64,7 @@
             primary.server_id,
             primary.term,
             [(known.term, known.start) for known in primary.history.starts],
+            list(primary.members),
         )
         for instance in self._topology.instances:
             if instance.id != self._topology.own.id:
@@ -76,6 +77,7 @@
         group = self._topology.group(message.group)
         group.note_primary(message.server_id, message.term)
         group.note_history(TermHistory(TermStart(*start) for start in message.history))
+        group.note_members(message.members, message.term)
         return Acknowledgement()
 
     def close(self) -> None:
@@ -232,6 +234,7 @@
         if record.phase is GroupPhase.CLAIMED:
             return  # its history still ends in the term before
         self._group.note_history(TermHistory(record.history))
+        self._group.note_members(record.members, record.term)
         if record.phase is GroupPhase.STABLE and record.primary:
             self._group.note_primary(record.primary, record.term)
 
@@ -298,6 +301,7 @@
             record = records.get(group.name)
             if record is not None and record.phase is not GroupPhase.CLAIMED:
                 group.note_history(TermHistory(record.history))
+                group.note_members(record.members, record.term)
 
     def _update(self) -> None:
         wanted = {
--- a/src/wigeonpoint/version/_confirmation.py
+++ b/src/wigeonpoint/version/_confirmation.py
@@ -15,6 +15,7 @@
 from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
 from wigeonpoint.version._configuration import Durability
+from wigeonpoint.version._group_membership import GroupMembership
 from wigeonpoint.version._servers import BackendServer
 
 STATUS_TIMEOUT_S = 0.5
@@ -45,20 +46,33 @@
     Args:
         servers: Members of the group.
         backend: Access to the members.
+        membership: Members among which majorities are counted, as far as more is known of them
+            than the list shows.
     """
 
-    def __init__(self, servers: list[BackendServer], backend: Backend) -> None:
+    def __init__(
+        self,
+        servers: list[BackendServer],
+        backend: Backend,
+        membership: GroupMembership | None = None,
+    ) -> None:
         self._servers = servers
+        self._membership = membership
         self._backend = backend
         self._waiters: set[_Waiter] = set()
         self._order = itertools.count(1)
         self._observed: dict[str, _Observation] = {}
         self._wanted = asyncio.Event()
-        self._pollers = [asyncio.create_task(self._poll(server)) for server in servers]
+        self._pollers = [asyncio.create_task(self._poll(server)) for server in self.polled]
+
+    @property
+    def polled(self) -> list[BackendServer]:
+        """Members that are asked."""
+        return self._membership.servers if self._membership else self._servers
 
     @property
     def majority(self) -> int:
-        """Number of members that form a majority."""
+        """Number of listed members that form a majority; each set of members needs its own."""
         return len(self._servers) // 2 + 1
 
     def close(self) -> None:
@@ -132,15 +146,18 @@
                 self._waiters.discard(waiter)
 
     def _evaluate_waiter(self, waiter: _Waiter) -> None:
-        confirming = 0
-        for observation in self._observed.values():
+        confirming = set()
+        for server_id, observation in self._observed.items():
             if observation.requested_at < waiter.joined_at:
                 continue
             if observation.status.fenced_term > waiter.at.term:
                 waiter.done.set_exception(_replaced(f"term {waiter.at.term} has ended"))
                 return
-            confirming += _confirms(observation.status, waiter)
-        if confirming < self.majority:
+            if _confirms(observation.status, waiter):
+                confirming.add(server_id)
+        if len(confirming) < self.majority:
+            return
+        if self._membership is not None and not self._membership.has_majority(confirming):
             return
         primary = self._observed.get(waiter.server_id)
         if (
--- a/src/wigeonpoint/version/_group.py
+++ b/src/wigeonpoint/version/_group.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection
 from dataclasses import replace
 
 from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
+from wigeonpoint.version._group_membership import GroupMembership
 from wigeonpoint.version._history import TermHistory
 from wigeonpoint.version._servers import BackendServer
 
@@ -26,12 +28,14 @@
     def __init__(self, name: str, servers: list[BackendServer], backend: Backend) -> None:
         self._name = name
         self._servers = {server.id: server for server in servers}
+        self._membership = GroupMembership(servers)
         self._backend = backend
         self._primary_id: str | None = None
         self._term = 0
         self._positions: dict[str, LogPosition] = {}
         self._history = TermHistory()
         self._confirmer: GroupConfirmer | None = None
+        self._polled: set[tuple[str, str]] = set()
         self._discovery: asyncio.Task[None] | None = None
 
     @property
@@ -63,16 +67,15 @@
     def confirmer(self) -> GroupConfirmer:
         """Confirms answers of the primary; made on first use, since few instances need it."""
         if self._confirmer is None:
-            self._confirmer = GroupConfirmer(self.servers, self._backend)
+            self._confirmer = GroupConfirmer(self.servers, self._backend, self._membership)
+            self._polled = _addresses(self._confirmer.polled)
         return self._confirmer
 
     def set_servers(self, servers: list[BackendServer]) -> None:
         """Replaces the members; confirmations restart only when membership itself changes."""
-        before = {(server.id, server.address) for server in self._servers.values()}
         self._servers = {server.id: server for server in servers}
-        if before != {(server.id, server.address) for server in servers} and self._confirmer:
-            self._confirmer.close()
-            self._confirmer = None
+        self._membership.note_list(servers)
+        self._restart_confirmer()
         if self._primary_id not in self._servers:
             self._primary_id = None
 
@@ -132,6 +135,16 @@
         if history.term > self._history.term:
             self._history = history
 
+    @property
+    def membership(self) -> GroupMembership:
+        """Members among which majorities are counted."""
+        return self._membership
+
+    def note_members(self, members: Collection[str], term: int) -> None:
+        """Records the members that the group record names for a term."""
+        self._membership.note_record(members, term)
+        self._restart_confirmer()
+
     def contains(self, at: LogPosition, required: LogPosition) -> bool:
         """Whether a log that ends at `at` contains the entry at `required`.
 
@@ -174,6 +187,11 @@
         if self._discovery is not None:
             self._discovery.cancel()
 
+    def _restart_confirmer(self) -> None:
+        if self._confirmer and _addresses(self._membership.servers) != self._polled:
+            self._confirmer.close()
+            self._confirmer = None
+
     async def _discover(self) -> None:
         # Callers that wait for the same primary share one discovery.
         if self._discovery is None or self._discovery.done():
@@ -184,3 +202,7 @@
         statuses = await member_statuses(self.servers, self._backend, timeout=DISCOVERY_TIMEOUT_S)
         for server_id, status in statuses.items():
             self.note_status(server_id, status)
+
+
+def _addresses(servers: Collection[BackendServer]) -> set[tuple[str, str]]:
+    return {(server.id, server.address) for server in servers}
--- a/src/wigeonpoint/version/_promotion.py
+++ b/src/wigeonpoint/version/_promotion.py
@@ -36,6 +36,7 @@
     server_id: str
     term: int
     history: TermHistory
+    members: tuple[str, ...] = ()
 
 
 Announce = Callable[[NewPrimary], None]
@@ -98,7 +99,7 @@
             record = replace(
                 record,
                 members=tuple(server.id for server in self._group.servers),
-                former_members=known.members,
+                former_members=known.members or tuple(sorted(self._group.membership.recorded)),
             )
         claimed = await self._records.write(self._group.name, record, version=stored.version)
         self._log(Event.TERM_CLAIMED, record)
@@ -190,7 +191,10 @@
         history = TermHistory(record.history)
         self._group.note_primary(record.candidate, record.term)
         self._group.note_history(history)
-        self._announce(NewPrimary(self._group.name, record.candidate, record.term, history))
+        self._group.note_members(record.members, record.term)
+        self._announce(
+            NewPrimary(self._group.name, record.candidate, record.term, history, record.members)
+        )
         self._log(Event.MEMBER_PROMOTED, record)
         await self._wait_for_first_entry(record)
         settled = replace(record, phase=GroupPhase.STABLE, primary=record.candidate)
