Refuse a transaction that lost a statement or its answer

Cause: an entry that cannot reach the owner reports a statement as rolled back, but a caller that ignores the error can commit through another instance, without the statement or with it. The entries share no state. Change: statements and commits carry the number of requests sent, and each answer carries a transaction id with the signed number of answers. The owner rolls back and answers transaction_sequence (114) when either does not fit the requests it admitted. `sequence` is required over HTTP. A request that waited while the transaction ended is refused instead of using a connection that was given back. Commits use the pool's durability; look-ups of commits still need a majority. The tests over HTTP send the number and the newest id. Conclusion: a lost statement ends the transaction at the next request.

--- a/src/wigeonpoint/_errors.py
+++ b/src/wigeonpoint/_errors.py
@@ -32,6 +32,7 @@
     UNKNOWN_PATH = 111
     METHOD_NOT_ALLOWED = 112
     TRANSACTION_CONFLICT = 113
+    TRANSACTION_SEQUENCE = 114
 
     DEADLINE_UNREACHABLE = 200
     QUEUE_FULL = 201
@@ -98,6 +99,7 @@
         self._message = message
         self._retry_after_ms = retry_after_ms
         self.request_id: str | None = None  # id to repeat the request with, set by the entry
+        self.transaction: str | None = None  # id of a transaction that is still open
 
     @property
     def code(self) -> ResultCode:
--- a/src/wigeonpoint/connection/__init__.py
+++ b/src/wigeonpoint/connection/__init__.py
@@ -38,6 +38,7 @@
 )
 from wigeonpoint.connection._session_token import Session, SessionTokens
 from wigeonpoint.connection._signing import TokenSigner
+from wigeonpoint.connection._statement_sequence import StatementSequence
 from wigeonpoint.connection._transaction_id import TransactionId, TransactionIds
 from wigeonpoint.connection._transactions import (
     IDLE_TIMEOUT_S as TRANSACTION_IDLE_TIMEOUT_S,
@@ -73,6 +74,7 @@
     "Session",
     "SessionTokens",
     "StatementMessage",
+    "StatementSequence",
     "StatusMessage",
     "StatusReply",
     "TokenSigner",
--- a/src/wigeonpoint/connection/_transaction_id.py
+++ b/src/wigeonpoint/connection/_transaction_id.py
@@ -19,6 +19,7 @@
         route: Route that it was begun on.
         term: Term of the primary at its begin.
         server_id: Backend server that holds it.
+        answered: Requests of it whose answers the holder of this id has.
     """
 
     address: str
@@ -27,6 +28,7 @@
     route: str
     term: int = 0
     server_id: str = ""
+    answered: int = 0
 
 
 class TransactionIds:
@@ -49,6 +51,7 @@
                 transaction.route,
                 transaction.term,
                 transaction.server_id,
+                transaction.answered,
             ]
         )
 
--- a/src/wigeonpoint/connection/_transactions.py
+++ b/src/wigeonpoint/connection/_transactions.py
@@ -8,10 +8,12 @@
 
 from wigeonpoint.backend import BackendAnswer, BackendConnection, Exchange
 from wigeonpoint.connection._backend_pool import BackendPool
+from wigeonpoint.connection._statement_sequence import StatementSequence
 from wigeonpoint.errors import InvalidRequest, OutcomeUnknown, ResultCode, WigeonpointError
 from wigeonpoint.request import Rank
 
 IDLE_TIMEOUT_S = 10.0
+REFUSED = -2  # no request follows this number
 
 
 @dataclass(slots=True)
@@ -28,6 +30,8 @@
     term: int = 0
     rank: Rank = Rank.STANDARD
     caller: str = ""
+    admitted: int = 0  # statements and commits that the owner has accepted
+    committing: str = ""  # request id of the commit that was accepted last
     busy: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
@@ -96,21 +100,50 @@
         """
         transaction = self._open.get(number)
         if transaction is None:
-            raise InvalidRequest(
-                ResultCode.UNKNOWN_TRANSACTION,
-                "the transaction is not open; it has ended or was rolled back",
-            )
+            raise _not_open()
         if transaction.session_id != session_id:
             raise InvalidRequest(
                 ResultCode.FOREIGN_TRANSACTION, "the transaction belongs to another session"
             )
         return transaction
 
+    async def admit(
+        self, transaction: OpenTransaction, sequence: StatementSequence | None, *, commit: str = ""
+    ) -> None:
+        """Counts the next request; one that does not follow the last rolls the transaction back.
+
+        Args:
+            transaction: The transaction.
+            sequence: Place of the request; None is not checked.
+            commit: Request id of a commit; its repeat while it runs is not counted again.
+
+        Raises:
+            InvalidRequest: TRANSACTION_SEQUENCE.
+        """
+        if commit and commit == transaction.committing:
+            return
+        transaction.committing = commit
+        if sequence is None or sequence.follows(transaction.admitted):
+            transaction.admitted += 1
+            return
+        admitted = transaction.admitted
+        transaction.admitted = REFUSED  # requests that arrive while it ends do not fit either
+        async with transaction.busy:
+            self._require_open(transaction)
+            transaction.connection.close()
+            self._end(transaction)
+        raise InvalidRequest(
+            ResultCode.TRANSACTION_SEQUENCE,
+            f"request {sequence.number} with {sequence.answered} answers does not follow request "
+            f"{admitted} of the transaction, which was rolled back; begin it again",
+        )
+
     async def execute(
         self, transaction: OpenTransaction, exchange: Exchange, *, timeout: float
     ) -> BackendAnswer:
         """Runs a statement; a lost connection ends the transaction."""
         async with transaction.busy:
+            self._require_open(transaction)
             try:
                 return await transaction.connection.execute(exchange, timeout=timeout)
             except (OutcomeUnknown, asyncio.CancelledError):
@@ -124,6 +157,7 @@
     ) -> BackendAnswer:
         """Commits and gives the connection back."""
         async with transaction.busy:
+            self._require_open(transaction)
             try:
                 return await transaction.connection.commit(request_id, timeout=timeout)
             except (OutcomeUnknown, asyncio.CancelledError):
@@ -135,6 +169,7 @@
     async def rollback(self, transaction: OpenTransaction, *, timeout: float) -> None:
         """Rolls back and gives the connection back."""
         async with transaction.busy:
+            self._require_open(transaction)
             try:
                 await transaction.connection.rollback(timeout=timeout)
             except WigeonpointError:
@@ -150,6 +185,11 @@
         if self._reaper is not None:
             self._reaper.cancel()
 
+    def _require_open(self, transaction: OpenTransaction) -> None:
+        """Refuses a request that waited while the transaction ended."""
+        if transaction.number not in self._open:
+            raise _not_open()
+
     def _after_use(self, transaction: OpenTransaction) -> None:
         transaction.used_at = asyncio.get_running_loop().time()
         if transaction.connection.closed:
@@ -168,3 +208,10 @@
                 if idle >= self._idle_timeout and not transaction.busy.locked():
                     transaction.connection.close()
                     self._end(transaction)
+
+
+def _not_open() -> InvalidRequest:
+    return InvalidRequest(
+        ResultCode.UNKNOWN_TRANSACTION,
+        "the transaction is not open; it has ended or was rolled back",
+    )
--- a/src/wigeonpoint/process/_caller_api.py
+++ b/src/wigeonpoint/process/_caller_api.py
@@ -25,8 +25,9 @@
     Access,
     Answer,
     BeginBody,
-    EndBody,
+    CommitBody,
     Rank,
+    RollbackBody,
     Statement,
     StatementBody,
     StatementRequest,
@@ -76,6 +77,7 @@
                 message=error.message,
                 retry_after_ms=error.retry_after_ms,
                 request_id=error.request_id,
+                transaction=error.transaction,
             ),
             **extra,
         )
@@ -233,6 +235,7 @@
                 transaction_id,
                 Statement(body.text, body.parameters),
                 body.access,
+                sequence=body.sequence,
                 session=body.session,
                 deadline=self.deadline(body.deadline_ms),
             )
@@ -248,24 +251,27 @@
         """Ends a transaction."""
 
         async def end(caller: str) -> None:
-            body = parse_body(EndBody, self.request.body or b"{}")
-            deadline = self.deadline(body.deadline_ms)
-            transactions = self.core.transactions
             if action == "commit":
-                answer = await transactions.commit(
-                    transaction_id,
-                    request_id=body.request_id,
-                    session=body.session,
-                    deadline=deadline,
-                )
+                answer = await self._commit(transaction_id)
             else:
-                answer = await transactions.rollback(
-                    transaction_id, session=body.session, deadline=deadline
+                body = parse_body(RollbackBody, self.request.body or b"{}")
+                answer = await self.core.transactions.rollback(
+                    transaction_id, session=body.session, deadline=self.deadline(body.deadline_ms)
                 )
             self.answer(answer)
 
         await self.run(end)
 
+    async def _commit(self, transaction_id: str) -> Answer:
+        body = parse_body(CommitBody, self.request.body or b"{}")
+        return await self.core.transactions.commit(
+            transaction_id,
+            request_id=body.request_id,
+            session=body.session,
+            deadline=self.deadline(body.deadline_ms),
+            sequence=body.sequence,
+        )
+
 
 def _fields(answer: Answer) -> dict[str, Any]:
     fields: dict[str, Any] = {
@@ -283,6 +289,7 @@
         "served_by": answer.served_by,
         "age_ms": answer.age_ms,
         "retry_after_ms": answer.retry_after_ms,
+        "transaction": answer.transaction,
         "message": answer.message or None,
     }
     fields.update({name: value for name, value in optional.items() if value is not None})
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -108,6 +108,7 @@
         transaction = self._transactions.find(message.number, message.session_id)
         owned = self._owned[transaction.server_id]
         deadline = asyncio.get_running_loop().time() + message.remaining_ms / 1000
+        await self._transactions.admit(transaction, message.sequence)
         async with owned.slot(transaction, deadline):
             answer = await self._transactions.execute(
                 transaction, message.exchange, timeout=message.remaining_ms / 1000
@@ -119,10 +120,13 @@
         transaction = self._transactions.find(message.number, message.session_id)
         owned = self._owned[transaction.server_id]
         deadline = asyncio.get_running_loop().time() + message.remaining_ms / 1000
+        await self._transactions.admit(transaction, message.sequence, commit=message.request_id)
         answer = await self._transactions.commit(
             transaction, message.request_id, timeout=message.remaining_ms / 1000
         )
-        await owned.confirm(answer.at, Durability.MAJORITY, deadline)
+        row = self._pool_row(message.pool)
+        durability = Durability.MAJORITY if row is None else row.durability
+        await owned.confirm(answer.at, durability, deadline)
         return ExecuteReply(answer.rows, answer.term, answer.position, answer.repeated)
 
     async def rollback(self, message: RollbackMessage) -> Acknowledgement:
--- a/src/wigeonpoint/process/_transaction_router.py
+++ b/src/wigeonpoint/process/_transaction_router.py
@@ -19,6 +19,7 @@
     Session,
     SessionTokens,
     StatementMessage,
+    StatementSequence,
     TransactionId,
     TransactionIds,
     WorkDetails,
@@ -39,11 +40,16 @@
 from wigeonpoint.process._router import ConfigurationLookup
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.request import Access, Answer, Rank, RetryBudgets, Statement
-from wigeonpoint.version import GroupView
+from wigeonpoint.version import GroupView, Pool
 
 REQUEST_ID_BYTES = 12
 COMMIT_SHARE = 0.5  # of the remaining time; the rest is for looking a lost answer up
 ROLLBACK_TIMEOUT_S = 0.1
+_TRANSACTION_ENDED = (
+    ResultCode.UNKNOWN_TRANSACTION,
+    ResultCode.FOREIGN_TRANSACTION,
+    ResultCode.TRANSACTION_SEQUENCE,
+)
 _OWNER_LOST = (ResultCode.PEER_UNREACHABLE, ResultCode.BACKEND_UNREACHABLE)
 
 ReplyT = TypeVar("ReplyT")
@@ -143,31 +149,69 @@
         *,
         session: str | None,
         deadline: float,
+        sequence: int | None = None,
     ) -> Answer:
-        """Runs a statement in a transaction."""
+        """Runs a statement in a transaction.
+
+        Args:
+            transaction_id: Id from the previous answer of the transaction.
+            statement: The statement.
+            access: Read or write.
+            session: Session token.
+            deadline: Event-loop time after which the answer is of no use.
+            sequence: Requests that the caller has sent in the transaction, this one included.
+                Callers over HTTP always give it; without it the place is not checked.
+
+        Returns:
+            The rows, and the id for the next request.
+        """
         transaction, known = self._identify(transaction_id, session)
         message = StatementMessage(
             number=transaction.number,
             session_id=known.id,
             exchange=Exchange(statement, read_only=access is Access.READ),
             remaining_ms=_remaining(deadline) * 1000,
+            sequence=_sequence(transaction, sequence),
         )
-        reply = await self._send(transaction.address, message, ExecuteReply, deadline)
+        following = self._ids.encode(replace(transaction, answered=transaction.answered + 1))
+        try:
+            reply = await self._send(transaction.address, message, ExecuteReply, deadline)
+        except InvalidRequest as error:
+            # The owner itself refused the statement, so it has counted it. After any other error
+            # the next request does not fit and the transaction is rolled back.
+            if error.code not in _TRANSACTION_ENDED:
+                error.transaction = following
+            raise
         # The session does not advance: the rows are provisional until the commit is confirmed.
-        return Answer(rows=reply.rows, session=self._tokens.encode(known))
+        return Answer(rows=reply.rows, session=self._tokens.encode(known), transaction=following)
 
     async def commit(
-        self, transaction_id: str, *, request_id: str | None, session: str | None, deadline: float
+        self,
+        transaction_id: str,
+        *,
+        request_id: str | None,
+        session: str | None,
+        deadline: float,
+        sequence: int | None = None,
     ) -> Answer:
-        """Commits a transaction and advances the session to the commit."""
+        """Commits a transaction and advances the session to the commit.
+
+        The sequence counts the commit too, so that a statement which did not arrive is missed.
+        """
         transaction, known = self._identify(transaction_id, session)
         given = request_id is not None
         request_id = request_id or secrets.token_urlsafe(REQUEST_ID_BYTES)
+        _, pool = self._configuration().resolve(transaction.route)
         message = CommitMessage(
-            transaction.number, known.id, request_id, _remaining(deadline) * COMMIT_SHARE * 1000
+            transaction.number,
+            known.id,
+            request_id,
+            _remaining(deadline) * COMMIT_SHARE * 1000,
+            sequence=_sequence(transaction, sequence),
+            pool=pool.name,
         )
         try:
-            reply = await self._commit(transaction, message, deadline, given=given)
+            reply = await self._commit(transaction, pool, message, deadline, given=given)
         except OutcomeUnknown as error:
             error.request_id = request_id
             raise
@@ -177,10 +221,15 @@
         )
 
     async def _commit(
-        self, transaction: TransactionId, message: CommitMessage, deadline: float, *, given: bool
+        self,
+        transaction: TransactionId,
+        pool: Pool,
+        message: CommitMessage,
+        deadline: float,
+        *,
+        given: bool,
     ) -> ExecuteReply:
         """Commits, and looks the recorded answer up when the owner's answer is lost."""
-        _, pool = self._configuration().resolve(transaction.route)
         try:
             return await self._transport.request(
                 transaction.address, message, ExecuteReply, timeout=message.remaining_ms / 1000
@@ -246,6 +295,10 @@
             return  # closed connections and the idle timeout roll it back
 
 
+def _sequence(transaction: TransactionId, number: int | None) -> StatementSequence | None:
+    return None if number is None else StatementSequence(number, transaction.answered)
+
+
 def _rolled_back(reason: str) -> NotRun:
     return NotRun(
         ResultCode.TRANSACTION_LOST, f"the transaction was rolled back; begin it again: {reason}"
--- a/src/wigeonpoint/request/__init__.py
+++ b/src/wigeonpoint/request/__init__.py
@@ -5,7 +5,8 @@
 from wigeonpoint.request._answer import Answer
 from wigeonpoint.request._models import (
     BeginBody,
-    EndBody,
+    CommitBody,
+    RollbackBody,
     StatementBody,
     TransactionStatementBody,
     parse_body,
@@ -17,10 +18,11 @@
     "Access",
     "Answer",
     "BeginBody",
-    "EndBody",
+    "CommitBody",
     "Rank",
     "RetryBudget",
     "RetryBudgets",
+    "RollbackBody",
     "Statement",
     "StatementBody",
     "StatementRequest",
--- a/src/wigeonpoint/request/_answer.py
+++ b/src/wigeonpoint/request/_answer.py
@@ -23,6 +23,7 @@
         from_replica: Whether a replica answered.
         age_ms: Proven upper bound of the data's age in milliseconds, for aged reads.
         retry_after_ms: Milliseconds after which a retry may succeed.
+        transaction: Id for the next request of an open transaction.
         message: A sentence about the result, for errors.
     """
 
@@ -36,4 +37,5 @@
     from_replica: bool = False
     age_ms: int | None = None
     retry_after_ms: int | None = None
+    transaction: str | None = None
     message: str = ""
--- a/src/wigeonpoint/request/_models.py
+++ b/src/wigeonpoint/request/_models.py
@@ -57,17 +57,36 @@
 
 
 class TransactionStatementBody(_Body):
-    """Body of a statement in a transaction."""
+    """Body of a statement in a transaction.
+
+    Attributes:
+        text: Statement text.
+        sequence: Requests that the caller has sent in the transaction, this one included.
+        parameters: Values for the `?` places.
+        access: Read or write.
+        deadline_ms: Milliseconds until the answer is of no use.
+        session: Session token of the previous answer.
+    """
 
     text: str = Field(min_length=1)
+    sequence: int = Field(ge=1)
     parameters: list[Any] = Field(default_factory=list)
     access: Access
     deadline_ms: int | None = Field(default=None, gt=0)
     session: str | None = None
 
 
-class EndBody(_Body):
-    """Body of a commit or rollback."""
+class RollbackBody(_Body):
+    """Body of a rollback."""
+
+    deadline_ms: int | None = Field(default=None, gt=0)
+    session: str | None = None
+
+
+class CommitBody(_Body):
+    """Body of a commit; `sequence` counts the commit too."""
+
+    sequence: int = Field(ge=1)
 
     request_id: str | None = Field(default=None, min_length=1, max_length=MAX_NAME_LENGTH)
     deadline_ms: int | None = Field(default=None, gt=0)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -86,7 +86,7 @@
                 cluster.processes[leaving].send_signal(signal.SIGTERM)
                 time.sleep(4)
                 path = f"{base}/{begun['transaction']}/commit"
-                body = {"session": begun["session"]}
+                body = {"session": begun["session"], "sequence": 1}
                 committed = call("POST", path, body, token=CALLER_TOKEN)
                 assert committed.body["outcome"] == "done", committed
                 assert cluster.processes[leaving].handle.wait(20) == 0
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -87,6 +87,7 @@
             text="PUT t 7",
             access="write",
             session=session,
+            sequence=1,
         )
         assert put["outcome"] == "done"
         foreign = post("chur-2", "/v1/transactions", route="closures")
@@ -96,9 +97,11 @@
             text="PUT t 8",
             access="write",
             session=foreign["session"],
+            sequence=2,
         )
         assert refused["name"] == "foreign_transaction"
-        done = post("sargans-2", f"{base}/commit", session=session)
+        base = f"/v1/transactions/{put['transaction']}"
+        done = post("sargans-2", f"{base}/commit", session=session, sequence=2)
         assert done["outcome"] == "done"
         read = cluster.statement(
             "chur-2", route="closures", text="GET t", access="read", session=done["session"]
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -18,6 +18,7 @@
     "UNKNOWN_PATH": "Check the path.",
     "METHOD_NOT_ALLOWED": "Check the HTTP method.",
     "TRANSACTION_CONFLICT": "Begin the transaction again; another one changed what it read.",
+    "TRANSACTION_SEQUENCE": "Begin the transaction again; an answer or a statement of it was lost.",
     "DEADLINE_UNREACHABLE": "Repeat after `retry_after_ms`, or allow a longer deadline.",
     "QUEUE_FULL": "Repeat after `retry_after_ms`; this rank has more work than the server takes.",
     "NO_PRIMARY": "Repeat; a change of primary takes up to 6 s.",
