Replace a reachable primary that no majority follows

Cause: watchers judged a primary by probes only, so one that was cut off from the other members alone kept its place while every write timed out. Change: the owner's confirmer records how long answers wait without any being confirmed. The owner's watch replaces the primary after 3 s of that when too few members advanced or hold its log end; the stalled primary is left out of the choice and fenced afterwards. Slow confirmations and a recent change of primary lengthen the window. Replicas up to 5 s behind but advancing while all attempts time out: no promotion. Conclusion: the gap stays within the budget of 6 s.

--- a/src/wigeonpoint/process/_group_probe.py
+++ b/src/wigeonpoint/process/_group_probe.py
@@ -82,6 +82,11 @@
         """Whether the last probes reached a majority of the members."""
         return len(self._statuses()) >= len(self._probes) // 2 + 1
 
+    @property
+    def members(self) -> list[MemberProbe]:
+        """Probes of all members."""
+        return list(self._probes.values())
+
     def update(self) -> None:
         """Follows changes of the group's members."""
         servers = {server.id: server for server in self._group.servers}
--- a/src/wigeonpoint/process/_watcher.py
+++ b/src/wigeonpoint/process/_watcher.py
@@ -17,6 +17,7 @@
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process._detection import FailureDetector
 from wigeonpoint.process._group_probe import GroupProbe, MemberProbe
+from wigeonpoint.process._stalled_primary import StalledPrimary
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.version import (
     CandidateLost,
@@ -101,6 +102,7 @@
 
     REPLACE = auto()
     HANDOVER = auto()
+    STALLED = auto()
     SETTLE = auto()
 
 
@@ -128,6 +130,7 @@
         self._detector = detector
         self._promotion = promotion
         self._probe = GroupProbe(group, backend)
+        self._stalled = StalledPrimary(group)
         self._settled_term = 0
         self._no_primary_since: float | None = None
         self._unchanged: tuple[int, float] | None = None  # version, first seen at
@@ -180,6 +183,8 @@
     def _need_with_primary(self, primary: MemberProbe) -> _Need | None:
         if self._probe.leaving(primary) and self._probe.can_do_without(primary):
             return _Need.HANDOVER
+        if self._stalled.check(primary, self._probe.members):
+            return _Need.STALLED
         if self._probe.seen_term > self._settled_term:
             return _Need.SETTLE
         return None
@@ -223,6 +228,9 @@
         if need is _Need.HANDOVER and primary is not None:
             excluded = [primary.server.id]
             log_event(Event.HANDOVER_STARTED, group=self._group.name, server=primary.server.id)
+        elif need is _Need.STALLED and primary is not None:
+            excluded = [primary.server.id]
+            log_event(Event.PRIMARY_STALLED, group=self._group.name, server=primary.server.id)
         else:
             log_event(Event.PRIMARY_UNREACHABLE, group=self._group.name)
         stable = await self._promotion.replace_primary(
--- a/src/wigeonpoint/version/_confirmation.py
+++ b/src/wigeonpoint/version/_confirmation.py
@@ -10,11 +10,14 @@
 
 import asyncio
 import itertools
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
 from wigeonpoint.version._configuration import Durability
+from wigeonpoint.version._confirmation_stall import ConfirmationStall
 from wigeonpoint.version._group_membership import GroupMembership
 from wigeonpoint.version._servers import BackendServer
 
@@ -48,6 +51,7 @@
         backend: Access to the members.
         membership: Members among which majorities are counted, as far as more is known of them
             than the list shows.
+        stall: Learns how long answers wait for a majority.
     """
 
     def __init__(
@@ -55,9 +59,11 @@
         servers: list[BackendServer],
         backend: Backend,
         membership: GroupMembership | None = None,
+        stall: ConfirmationStall | None = None,
     ) -> None:
         self._servers = servers
         self._membership = membership
+        self._stall = stall or ConfirmationStall()
         self._backend = backend
         self._waiters: set[_Waiter] = set()
         self._order = itertools.count(1)
@@ -109,7 +115,8 @@
         self._waiters.add(waiter)
         self._wanted.set()
         try:
-            await asyncio.wait_for(waiter.done, timeout)
+            with self._stall_of(durability):
+                await asyncio.wait_for(waiter.done, timeout)
         except TimeoutError as error:
             raise OutcomeUnknown(
                 ResultCode.CONFIRMATION_TIMEOUT,
@@ -118,6 +125,25 @@
         finally:
             self._waiters.discard(waiter)
 
+    @contextmanager
+    def _stall_of(self, durability: Durability) -> Iterator[None]:
+        """Records the wait of an answer whose position a majority must hold."""
+        if durability is not Durability.MAJORITY:
+            yield
+            return
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self._stall.begin(started)
+        given_up = False
+        try:
+            yield
+        except (TimeoutError, asyncio.CancelledError):
+            given_up = True
+            raise
+        finally:
+            now = loop.time()
+            self._stall.end(now, timed_out=given_up, waited=now - started)
+
     async def _poll(self, server: BackendServer) -> None:
         member = self._backend.member(server.address)
         while True:
--- a/src/wigeonpoint/version/_group.py
+++ b/src/wigeonpoint/version/_group.py
@@ -9,6 +9,7 @@
 from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.version._confirmation import GroupConfirmer, member_statuses
+from wigeonpoint.version._confirmation_stall import ConfirmationStall
 from wigeonpoint.version._group_membership import GroupMembership
 from wigeonpoint.version._history import TermHistory
 from wigeonpoint.version._servers import BackendServer
@@ -29,6 +30,7 @@
         self._name = name
         self._servers = {server.id: server for server in servers}
         self._membership = GroupMembership(servers)
+        self._stall = ConfirmationStall()
         self._backend = backend
         self._primary_id: str | None = None
         self._term = 0
@@ -67,7 +69,9 @@
     def confirmer(self) -> GroupConfirmer:
         """Confirms answers of the primary; made on first use, since few instances need it."""
         if self._confirmer is None:
-            self._confirmer = GroupConfirmer(self.servers, self._backend, self._membership)
+            self._confirmer = GroupConfirmer(
+                self.servers, self._backend, self._membership, self._stall
+            )
             self._polled = _addresses(self._confirmer.polled)
         return self._confirmer
 
@@ -135,6 +139,11 @@
         if history.term > self._history.term:
             self._history = history
 
+    @property
+    def confirmation_stall(self) -> ConfirmationStall:
+        """How long answers of the primary have waited here without any being confirmed."""
+        return self._stall
+
     @property
     def membership(self) -> GroupMembership:
         """Members among which majorities are counted."""
--- a/src/wigeonpoint/version/_promotion.py
+++ b/src/wigeonpoint/version/_promotion.py
@@ -157,6 +157,11 @@
                 if status is not None:
                     fenced[server_id] = status
             if _has_both_majorities(set(fenced), record):
+                # An excluded member may still act as primary; its answers are not confirmed any
+                # more, and the fence makes it refuse work at once.
+                for server in self._group.servers:
+                    if server not in servers:
+                        self._spawn(self._fence_member(server, record.term))
                 self._log(Event.TERM_FENCED, record, members=sorted(fenced))
                 return fenced
         raise NotRun(
--- /dev/null
+++ b/tests/test_stalled_primary.py
@@ -0,0 +1,143 @@
+"""Primaries that instances reach while their replication does not get through."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from contextlib import suppress
+from itertools import pairwise
+
+import pytest
+
+from tests.fleet import Fleet
+from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.process import _stalled_primary
+from wigeonpoint.standins import AppendEntries, AppendReply
+from wigeonpoint.version import _confirmation
+
+BUDGET_S = 6.0
+
+pytestmark = pytest.mark.looptime
+
+
+class _CutLink:
+    """Replication that reaches no other member."""
+
+    async def append(self, address: str, message: AppendEntries) -> AppendReply:
+        """Loses the message."""
+        await asyncio.sleep(0.1)
+        raise OutcomeUnknown(ResultCode.DEADLINE_EXCEEDED, f"no answer from {address}")
+
+
+class _LateLink:
+    """Replication of which every entry arrives a time after it was written."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.lag = 0.0
+        self._fleet = fleet
+        self._member = fleet.members[0]
+        self._written: deque[tuple[float, int]] = deque()  # time and log end
+        self._task = asyncio.create_task(self._follow())
+
+    async def _follow(self) -> None:
+        while True:
+            now = asyncio.get_running_loop().time()
+            self._written.append((now, self._member.status().position))
+            await asyncio.sleep(0.02)
+
+    async def append(self, address: str, message: AppendEntries) -> AppendReply:
+        """Delivers the entries that are old enough."""
+        await asyncio.sleep(0.02)
+        old = asyncio.get_running_loop().time() - self.lag
+        arrived = max((end for at, end in self._written if at <= old), default=0)
+        count = max(0, arrived - message.previous_position)
+        if not count:
+            raise NotRun(ResultCode.BACKEND_UNREACHABLE, "nothing has arrived yet")
+        part = AppendEntries(
+            message.term, message.previous_position, message.previous_term, message.entries[:count]
+        )
+        return self._fleet.network.members[address].append_entries(part)
+
+    def close(self) -> None:
+        """Ends following the primary's log."""
+        self._task.cancel()
+
+
+async def _write_on(fleet: Fleet, seconds: float, within: float) -> list[float]:
+    """Sends ten writes a second; gives the times of the acknowledged ones, from now."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    acknowledged: list[float] = []
+
+    async def write(number: int) -> None:
+        with suppress(WigeonpointError):
+            await fleet.write("sargans", f"w{number}", within=within)
+            acknowledged.append(loop.time() - started)
+
+    writes = []
+    for number in range(int(seconds * 10)):
+        writes.append(asyncio.create_task(write(number)))
+        await asyncio.sleep(0.1)
+    await asyncio.gather(*writes)
+    return sorted(acknowledged)
+
+
+class TestCutOffFromMembers:
+    """Guards against a group that acknowledges nothing although its primary looks healthy."""
+
+    @pytest.mark.parametrize("primary_detection", ["single", "second_opinion"])
+    async def test_member_that_a_majority_holds_takes_over(self, primary_detection: str) -> None:
+        async with Fleet(primary_detection) as fleet:
+            fleet.members[0]._link = _CutLink()
+            assert await fleet.gap("sargans") < BUDGET_S
+            await asyncio.sleep(1.0)
+            record = await fleet.record()
+            assert record["primary"] != fleet.members[0].name
+            assert fleet.members[0].status().role == "replica"
+            assert "first" in fleet.network.members[str(record["primary"])].data
+            await asyncio.sleep(4.0)
+            assert (await fleet.record())["term"] == 2
+
+    async def test_one_replica_that_follows_is_enough(self) -> None:
+        """Guards against a change of primary because of one lost link."""
+        async with Fleet() as fleet:
+            fleet.members[2].stop()
+            fleet.network.cut("chur", "gallen")
+            acknowledged = await _write_on(fleet, 8.0, within=1.0)
+            assert len(acknowledged) == 80
+            assert await fleet.record() == {}
+
+
+class TestSlowReplicas:
+    """Guards against a change of primary because replicas are behind."""
+
+    @pytest.fixture(autouse=True)
+    def _poll_slowly(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        # Polls each millisecond of a wait of seconds take most of the test's time.
+        monkeypatch.setattr(_confirmation, "POLL_PAUSE_S", 0.05)
+
+    async def _record_with_lag(self) -> tuple[dict[str, object], list[float]]:
+        async with Fleet() as fleet:
+            link = _LateLink(fleet)
+            fleet.members[0]._link = link
+            writing = asyncio.create_task(_write_on(fleet, 25.0, within=9.0))
+            await asyncio.sleep(1.0)
+            for _ in range(100):
+                link.lag += 0.05
+                await asyncio.sleep(0.1)
+            acknowledged = await writing
+            link.close()
+            return await fleet.record(), acknowledged
+
+    async def test_replicas_that_advance_five_seconds_behind(self) -> None:
+        record, acknowledged = await self._record_with_lag()
+        assert record == {}
+        # An attempt ends before an entry arrives, so answers wait and none is confirmed.
+        pauses = [later - earlier for earlier, later in pairwise(acknowledged)]
+        assert max(pauses) > 2 * _stalled_primary.STALL_S
+
+    async def test_positions_prevent_the_alarm(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Shows that the previous test fails when positions are not considered."""
+        monkeypatch.setattr(_stalled_primary.StalledPrimary, "_follows", lambda *_: False)
+        record, _ = await self._record_with_lag()
+        assert record != {}
