Lose no acknowledged write in a planned handover

Cause: the leaving primary was left out of the fence set, so with durability primary the writes that only it held were dropped although nothing had failed. Change: its owner holds writes and commits back for at most 2 s until a staying member has reached its log end; otherwise the handover is put off for 10 s (event 411). The leaving member is fenced with the others and its answer waited for, so a write that passed the pause keeps it chosen. Conclusion: replicas that stay over 2 s behind put the handover off.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -48,6 +48,7 @@
     PROMOTION_FAILED = (408, logging.WARNING, "step of a promotion failed")
     OPINION_DIFFERS = (409, logging.INFO, "another instance reaches the primary")
     PRIMARY_STALLED = (410, logging.WARNING, "primary is reachable but no majority follows it")
+    HANDOVER_PUT_OFF = (411, logging.WARNING, "no replica caught up; handover put off")
     RETRY_BUDGET_EMPTY = (600, logging.WARNING, "retry budget of the route is used up")
     POSITION_LOST = (601, logging.ERROR, "a session requires a position that no log contains")
     COMMIT_UNRESOLVED = (602, logging.WARNING, "the outcome of a commit could not be resolved")
--- a/src/wigeonpoint/connection/_messages.py
+++ b/src/wigeonpoint/connection/_messages.py
@@ -196,6 +196,21 @@
     members: list[str] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class PauseWritesMessage:
+    """Asks the owner of a leaving primary to hold its writes back.
+
+    Attributes:
+        group: Name of the database group.
+        server_id: The leaving primary.
+        pause_ms: Milliseconds after which writes go on in any case.
+    """
+
+    group: str
+    server_id: str
+    pause_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class ProbeMemberMessage:
     """Asks an instance whether it reaches a member."""
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -104,7 +104,9 @@
         announcer = PrimaryAnnouncer(self.topology, transport)
         announcer.register(dispatcher)
         records = GroupRecords(platform.tables)
-        self.watcher = Watcher(self.topology, records, backend, self._detector(), announcer)
+        self.watcher = Watcher(
+            self.topology, records, backend, self._detector(), announcer, transport
+        )
         PositionSampleService(self.topology, backend).register(dispatcher)
         keys = settings.session_keys
         tokens = SessionTokens(TokenSigner(keys.keys, keys.active, purpose="session"))
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 
 from wigeonpoint.backend import Backend
 from wigeonpoint.connection import (
@@ -17,6 +18,7 @@
     CommitMessage,
     ExecuteMessage,
     ExecuteReply,
+    PauseWritesMessage,
     PeerDispatcher,
     RecordedMessage,
     RollbackMessage,
@@ -28,6 +30,7 @@
 from wigeonpoint.process._handover import Handover
 from wigeonpoint.process._owner import DEFAULT_CONNECTIONS, OwnedServer
 from wigeonpoint.process._topology import Topology
+from wigeonpoint.process._write_pause import WritePause
 from wigeonpoint.version import BackendServer, Durability, GroupView, Pool
 
 STATUS_TIMEOUT_S = 1.0
@@ -51,6 +54,7 @@
         self._owned: dict[str, OwnedServer] = {}
         self._opening: dict[str, asyncio.Lock] = {}
         self._transactions = Transactions()
+        self._pause = WritePause(topology)
         self._users: Counter[str] = Counter()
         self._handover = Handover(topology, self._owned, backend, self._in_use)
 
@@ -81,14 +85,24 @@
         dispatcher.register(CommitMessage, self.commit)
         dispatcher.register(RollbackMessage, self.rollback)
         dispatcher.register(RecordedMessage, self.recorded)
+        dispatcher.register(PauseWritesMessage, self._pause.pause)
 
     async def execute(self, message: ExecuteMessage) -> ExecuteReply:
         """Runs one statement."""
         owned = await self._owned_server(message.work)
         self._refuse_read_while_leaving(message)
+        if not message.exchange.read_only:
+            message = await self._after_pause(message)
         with self._use(owned):
             return await owned.execute(message)
 
+    async def _after_pause(self, message: ExecuteMessage) -> ExecuteMessage:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + message.work.remaining_ms / 1000
+        await self._pause.wait(message.work.group, message.work.server_id, deadline)
+        remaining_ms = (deadline - loop.time()) * 1000
+        return replace(message, work=replace(message.work, remaining_ms=remaining_ms))
+
     async def cancel(self, message: CancelMessage) -> CancelReply:
         """Removes queued work; the reply says whether it may have been sent."""
         owned = self._owned.get(message.server_id)
@@ -121,8 +135,11 @@
         owned = self._owned[transaction.server_id]
         deadline = asyncio.get_running_loop().time() + message.remaining_ms / 1000
         await self._transactions.admit(transaction, message.sequence, commit=message.request_id)
+        await self._pause.wait(transaction.group, transaction.server_id, deadline)
         answer = await self._transactions.commit(
-            transaction, message.request_id, timeout=message.remaining_ms / 1000
+            transaction,
+            message.request_id,
+            timeout=deadline - asyncio.get_running_loop().time(),
         )
         row = self._pool_row(message.pool)
         durability = Durability.MAJORITY if row is None else row.durability
--- a/src/wigeonpoint/process/_watcher.py
+++ b/src/wigeonpoint/process/_watcher.py
@@ -17,6 +17,7 @@
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process._detection import FailureDetector
 from wigeonpoint.process._group_probe import GroupProbe, MemberProbe
+from wigeonpoint.process._planned_handover import PlannedHandover
 from wigeonpoint.process._stalled_primary import StalledPrimary
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.version import (
@@ -115,6 +116,7 @@
         backend: Access to the members.
         detector: Confirms that a member is out of reach.
         promotion: Carries out changes of primary.
+        handover: Prepares handovers of leaving primaries.
     """
 
     def __init__(
@@ -124,11 +126,13 @@
         backend: Backend,
         detector: FailureDetector,
         promotion: Promotion,
+        handover: PlannedHandover,
     ) -> None:
         self._group = group
         self._records = records
         self._detector = detector
         self._promotion = promotion
+        self._handover = handover
         self._probe = GroupProbe(group, backend)
         self._stalled = StalledPrimary(group)
         self._settled_term = 0
@@ -181,7 +185,8 @@
         return _Need.REPLACE if unchanged else None
 
     def _need_with_primary(self, primary: MemberProbe) -> _Need | None:
-        if self._probe.leaving(primary) and self._probe.can_do_without(primary):
+        leaving = self._probe.leaving(primary) and self._probe.can_do_without(primary)
+        if leaving and self._handover.due(self._group):
             return _Need.HANDOVER
         if self._stalled.check(primary, self._probe.members):
             return _Need.STALLED
@@ -223,10 +228,14 @@
             await self._replace(stored, need)
 
     async def _replace(self, stored: StoredRecord, need: _Need) -> None:
-        excluded = []
+        excluded, awaited = [], []
         primary = self._probe.primary()
         if need is _Need.HANDOVER and primary is not None:
-            excluded = [primary.server.id]
+            if not await self._handover.prepare(self._group, primary.server):
+                log_event(Event.HANDOVER_PUT_OFF, group=self._group.name)
+                return
+            # Its log end after the fence shows whether a write was missed.
+            awaited = [primary.server.id]
             log_event(Event.HANDOVER_STARTED, group=self._group.name, server=primary.server.id)
         elif need is _Need.STALLED and primary is not None:
             excluded = [primary.server.id]
@@ -234,7 +243,7 @@
         else:
             log_event(Event.PRIMARY_UNREACHABLE, group=self._group.name)
         stable = await self._promotion.replace_primary(
-            stored, seen_term=self._probe.seen_term, excluded=excluded
+            stored, seen_term=self._probe.seen_term, excluded=excluded, awaited=awaited
         )
         self._learn(stable.record)
 
@@ -256,6 +265,7 @@
         backend: Access to the members.
         detector: Confirms that a member is out of reach.
         announcer: Tells instances of new primaries.
+        transport: Sends messages to instances.
     """
 
     def __init__(
@@ -265,7 +275,9 @@
         backend: Backend,
         detector: FailureDetector,
         announcer: PrimaryAnnouncer,
+        transport: PeerTransport,
     ) -> None:
+        self._handover = PlannedHandover(topology, transport, backend)
         self._topology = topology
         self._records = records
         self._backend = backend
@@ -330,4 +342,6 @@
             instance_id=self._topology.own.id,
             announce=self._announcer.announce,
         )
-        return GroupWatch(group, self._records, self._backend, self._detector, promotion)
+        return GroupWatch(
+            group, self._records, self._backend, self._detector, promotion, self._handover
+        )
--- a/src/wigeonpoint/version/_promotion.py
+++ b/src/wigeonpoint/version/_promotion.py
@@ -74,7 +74,12 @@
         self._background: set[asyncio.Task[Any]] = set()
 
     async def replace_primary(
-        self, stored: StoredRecord, *, seen_term: int, excluded: Sequence[str] = ()
+        self,
+        stored: StoredRecord,
+        *,
+        seen_term: int,
+        excluded: Sequence[str] = (),
+        awaited: Sequence[str] = (),
     ) -> StoredRecord:
         """Claims the next term and makes the best member its primary.
 
@@ -82,6 +87,7 @@
             stored: The record as last read.
             seen_term: Highest term seen at any member.
             excluded: Members to leave out of the fence set while the others are a majority.
+            awaited: Members whose answer to the fence is waited for even after a majority.
 
         Raises:
             WigeonpointError: A step failed; the record shows how far the change has come.
@@ -103,7 +109,7 @@
             )
         claimed = await self._records.write(self._group.name, record, version=stored.version)
         self._log(Event.TERM_CLAIMED, record)
-        return await self._fence_and_choose(claimed, excluded)
+        return await self._fence_and_choose(claimed, excluded, awaited)
 
     async def resume(self, stored: StoredRecord) -> StoredRecord:
         """Goes on with a change of primary that has made no progress.
@@ -121,7 +127,7 @@
             claim_id=secrets.token_urlsafe(CLAIM_ID_BYTES),
         )
         taken = await self._records.write(self._group.name, record, version=stored.version)
-        return await self._fence_and_choose(taken, ())
+        return await self._fence_and_choose(taken)
 
     def close(self) -> None:
         """Ends calls that are still under way."""
@@ -129,10 +135,13 @@
             task.cancel()
 
     async def _fence_and_choose(
-        self, claimed: StoredRecord, excluded: Sequence[str]
+        self,
+        claimed: StoredRecord,
+        excluded: Sequence[str] = (),
+        awaited: Sequence[str] = (),
     ) -> StoredRecord:
         record = claimed.record
-        fenced = await self._fence(record, excluded)
+        fenced = await self._fence(record, excluded, set(awaited))
         chosen_id = self._choose(fenced)
         history = TermHistory(record.history).extended(record.term, fenced[chosen_id].at)
         chosen = replace(
@@ -142,7 +151,9 @@
         self._log(Event.CANDIDATE_CHOSEN, chosen)
         return await self._promote_and_settle(promoting)
 
-    async def _fence(self, record: GroupRecord, excluded: Sequence[str]) -> dict[str, MemberStatus]:
+    async def _fence(
+        self, record: GroupRecord, excluded: Sequence[str], awaited: set[str]
+    ) -> dict[str, MemberStatus]:
         """Fences members until a majority has accepted the term."""
         servers = self._group.servers
         remaining = [server for server in servers if server.id not in excluded]
@@ -154,9 +165,10 @@
             done, calls = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
             for call in done:
                 server_id, status = call.result()
+                awaited = awaited - {server_id}
                 if status is not None:
                     fenced[server_id] = status
-            if _has_both_majorities(set(fenced), record):
+            if _has_both_majorities(set(fenced), record) and not awaited:
                 # An excluded member may still act as primary; its answers are not confirmed any
                 # more, and the fence makes it refuse work at once.
                 for server in self._group.servers:
