Fetch histories of terms whose announcement was missed

Cause: an instance that does not watch a group read its history once and then relied on announcements, so one missed announcement left it judging positions by an old history. Change: a term in an answer or status above the history's makes the instance fetch history and recorded members from the owners of the group's members, within about 1 s and without the platform. Tests: without the comparison both cases of test_history_repair fail. Conclusion: a missed announcement is repaired by the next answer; until then a position is still judged by the old history.

--- a/src/wigeonpoint/connection/_messages.py
+++ b/src/wigeonpoint/connection/_messages.py
@@ -196,6 +196,28 @@
     members: list[str] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class FetchHistoryMessage:
+    """Asks a watcher of a group for the history of its terms."""
+
+    group: str
+
+
+@dataclass(frozen=True, slots=True)
+class FetchHistoryReply:
+    """What the asked instance knows.
+
+    Attributes:
+        history: Pairs of term and start position, oldest first.
+        members: Members that the group record names; empty when no record is known.
+        members_term: Term of that record.
+    """
+
+    history: list[tuple[int, int]]
+    members: list[str]
+    members_term: int
+
+
 @dataclass(frozen=True, slots=True)
 class PauseWritesMessage:
     """Asks the owner of a leaving primary to hold its writes back.
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -26,6 +26,7 @@
 )
 from wigeonpoint.process._directory_feed import DirectoryFeed
 from wigeonpoint.process._drain import Drain
+from wigeonpoint.process._history_repair import HistoryRepair
 from wigeonpoint.process._overload_hints import OverloadHints
 from wigeonpoint.process._owner_service import OwnerService
 from wigeonpoint.process._position_samples import PositionSampleService
@@ -103,6 +104,8 @@
         MemberProbeService(self.topology, backend).register(dispatcher)
         announcer = PrimaryAnnouncer(self.topology, transport)
         announcer.register(dispatcher)
+        self.history_repair = HistoryRepair(self.topology, transport)
+        self.history_repair.register(dispatcher)
         records = GroupRecords(platform.tables)
         self.watcher = Watcher(
             self.topology, records, backend, self._detector(), announcer, transport
@@ -135,6 +138,7 @@
         self.swim.start()
         self.owners.start()
         self.watcher.start()
+        self.history_repair.start()
 
     async def finish_work(self) -> None:
         """Runs a graceful shutdown up to the point where `close` interrupts nothing."""
@@ -152,6 +156,7 @@
         self.feed.close()
         self.directory_feed.close()
         self.watcher.close()
+        self.history_repair.close()
         self.router.close()
         self.owners.close()
         self.transport.close()
--- a/src/wigeonpoint/version/_group.py
+++ b/src/wigeonpoint/version/_group.py
@@ -34,6 +34,7 @@
         self._backend = backend
         self._primary_id: str | None = None
         self._term = 0
+        self._seen_term = 0
         self._positions: dict[str, LogPosition] = {}
         self._history = TermHistory()
         self._confirmer: GroupConfirmer | None = None
@@ -93,6 +94,7 @@
 
     def note_position(self, server_id: str, at: LogPosition) -> None:
         """Records a position that a member's answer proved."""
+        self._seen_term = max(self._seen_term, at.term)
         known = self._positions.get(server_id)
         if known is None or at > known:
             self._positions[server_id] = at
@@ -134,6 +136,11 @@
         """Beginnings of the terms that the current log descends from, as far as is known."""
         return self._history
 
+    @property
+    def history_missing(self) -> bool:
+        """Whether a later term was seen than the history tells of; term 1 has none."""
+        return max(self._seen_term, self._term) > max(self._history.term, 1)
+
     def note_history(self, history: TermHistory) -> None:
         """Records a history; one that ends in an earlier term is ignored."""
         if history.term > self._history.term:
--- /dev/null
+++ b/tests/test_history_repair.py
@@ -0,0 +1,57 @@
+"""Histories of terms at instances that do not watch a group."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from tests.entries import Entry, Fleet
+from wigeonpoint.backend import LogPosition
+from wigeonpoint.connection import AnnouncePrimaryMessage
+from wigeonpoint.errors import OutcomeUnknown, ResultCode
+from wigeonpoint.process._history_repair import HistoryRepair
+from wigeonpoint.version import TermHistory
+
+pytestmark = pytest.mark.looptime
+
+
+def _repair(entry: Entry) -> HistoryRepair:
+    repair = HistoryRepair(entry.topology, entry.router._sender._transport)
+    repair.register(entry.dispatcher)
+    return repair
+
+
+class TestMissedAnnouncement:
+    """Guards against a session that is judged by an old history for good."""
+
+    @pytest.mark.parametrize("unreachable", [[], ["i-chur"]])
+    async def test_term_of_an_answer_fetches_the_history(self, unreachable: list[str]) -> None:
+        fleet = Fleet.build()
+        repairs = [_repair(entry) for entry in fleet.entries]
+        history = TermHistory().extended(2, LogPosition(1, 2))
+        for entry in fleet.entries[:2]:
+            entry.topology.group("plans").note_history(history)
+            entry.topology.group("plans").note_members(["plans-0", "plans-1", "plans-2"], 2)
+        fleet.network.down.update(unreachable)
+        sent: list[Any] = []
+
+        async def hook(stage: str, address: str, message: Any) -> None:
+            sent.append(message)
+            if isinstance(message, AnnouncePrimaryMessage):
+                raise OutcomeUnknown(ResultCode.CONNECTION_LOST, "dropped by the test")
+
+        fleet.network.on_message = hook
+        late = fleet.entries[2].topology.group("plans")
+        repairs[2].start()
+        await asyncio.sleep(3.0)
+        assert sent == []  # nothing to repair in term 1
+        await fleet.promote(1, 2)
+        await fleet.entries[2].write("ADD n 1")
+        await asyncio.sleep(3.0)
+        assert late.history.starts == history.starts
+        assert late.membership.recorded_term == 2
+        assert not late.contains(LogPosition(2, 9), LogPosition(1, 3))
+        repairs[2].close()
+        fleet.close()
