--- a/src/wigeonpoint/connection/__init__.py
+++ b/src/wigeonpoint/connection/__init__.py
@@ -21,6 +21,9 @@
     CommitMessage,
     ExecuteMessage,
     ExecuteReply,
+    FetchHistoryMessage,
+    FetchHistoryReply,
+    PauseWritesMessage,
     ProbeMemberMessage,
     ProbeMemberReply,
     RecordedMessage,
@@ -38,6 +41,7 @@
 )
 from wigeonpoint.connection._session_token import Session, SessionTokens
 from wigeonpoint.connection._signing import TokenSigner
+from wigeonpoint.connection._statement_sequence import StatementSequence
 from wigeonpoint.connection._transaction_id import TransactionId, TransactionIds
 from wigeonpoint.connection._transactions import (
     IDLE_TIMEOUT_S as TRANSACTION_IDLE_TIMEOUT_S,
@@ -64,6 +68,9 @@
     "PeerChannels",
     "PeerDispatcher",
     "PeerTransport",
+    "FetchHistoryMessage",
+    "FetchHistoryReply",
+    "PauseWritesMessage",
     "ProbeMemberMessage",
     "ProbeMemberReply",
     "RecordedMessage",
@@ -73,6 +80,7 @@
     "Session",
     "SessionTokens",
     "StatementMessage",
+    "StatementSequence",
     "StatusMessage",
     "StatusReply",
     "TokenSigner",
--- a/src/wigeonpoint/version/_confirmation.py
+++ b/src/wigeonpoint/version/_confirmation.py
@@ -10,11 +10,15 @@
 
 import asyncio
 import itertools
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 from wigeonpoint.backend import Backend, LogPosition, MemberRole, MemberStatus
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
 from wigeonpoint.version._configuration import Durability
+from wigeonpoint.version._confirmation_stall import ConfirmationStall
+from wigeonpoint.version._group_membership import GroupMembership
 from wigeonpoint.version._servers import BackendServer
 
 STATUS_TIMEOUT_S = 0.5
@@ -45,20 +49,36 @@
     Args:
         servers: Members of the group.
         backend: Access to the members.
+        membership: Members among which majorities are counted, as far as more is known of them
+            than the list shows.
+        stall: Learns how long answers wait for a majority.
     """
 
-    def __init__(self, servers: list[BackendServer], backend: Backend) -> None:
+    def __init__(
+        self,
+        servers: list[BackendServer],
+        backend: Backend,
+        membership: GroupMembership | None = None,
+        stall: ConfirmationStall | None = None,
+    ) -> None:
         self._servers = servers
+        self._membership = membership
+        self._stall = stall or ConfirmationStall()
         self._backend = backend
         self._waiters: set[_Waiter] = set()
         self._order = itertools.count(1)
         self._observed: dict[str, _Observation] = {}
         self._wanted = asyncio.Event()
-        self._pollers = [asyncio.create_task(self._poll(server)) for server in servers]
+        self._pollers = [asyncio.create_task(self._poll(server)) for server in self.polled]
+
+    @property
+    def polled(self) -> list[BackendServer]:
+        """Members that are asked."""
+        return self._membership.servers if self._membership else self._servers
 
     @property
     def majority(self) -> int:
-        """Number of members that form a majority."""
+        """Number of listed members that form a majority; each set of members needs its own."""
         return len(self._servers) // 2 + 1
 
     def close(self) -> None:
@@ -95,7 +115,8 @@
         self._waiters.add(waiter)
         self._wanted.set()
         try:
-            await asyncio.wait_for(waiter.done, timeout)
+            with self._stall_of(durability):
+                await asyncio.wait_for(waiter.done, timeout)
         except TimeoutError as error:
             raise OutcomeUnknown(
                 ResultCode.CONFIRMATION_TIMEOUT,
@@ -104,6 +125,25 @@
         finally:
             self._waiters.discard(waiter)
 
+    @contextmanager
+    def _stall_of(self, durability: Durability) -> Iterator[None]:
+        """Records the wait of an answer whose position a majority must hold."""
+        if durability is not Durability.MAJORITY:
+            yield
+            return
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self._stall.begin(started)
+        given_up = False
+        try:
+            yield
+        except (TimeoutError, asyncio.CancelledError):
+            given_up = True
+            raise
+        finally:
+            now = loop.time()
+            self._stall.end(now, timed_out=given_up, waited=now - started)
+
     async def _poll(self, server: BackendServer) -> None:
         member = self._backend.member(server.address)
         while True:
@@ -132,15 +172,18 @@
                 self._waiters.discard(waiter)
 
     def _evaluate_waiter(self, waiter: _Waiter) -> None:
-        confirming = 0
-        for observation in self._observed.values():
+        confirming = set()
+        for server_id, observation in self._observed.items():
             if observation.requested_at < waiter.joined_at:
                 continue
             if observation.status.fenced_term > waiter.at.term:
                 waiter.done.set_exception(_replaced(f"term {waiter.at.term} has ended"))
                 return
-            confirming += _confirms(observation.status, waiter)
-        if confirming < self.majority:
+            if _confirms(observation.status, waiter):
+                confirming.add(server_id)
+        if len(confirming) < self.majority:
+            return
+        if self._membership is not None and not self._membership.has_majority(confirming):
             return
         primary = self._observed.get(waiter.server_id)
         if (
