--- a/src/wigeonpoint/_errors.py
+++ b/src/wigeonpoint/_errors.py
@@ -6,7 +6,11 @@
 
 
 class Outcome(StrEnum):
-    """What is known about a request when its answer is sent."""
+    """What is known about a request when its answer is sent.
+
+    `NOT_RUN` says of a write that it changed nothing and will not. A read changes nothing anyway;
+    for it, `NOT_RUN` says that no rows are answered, also when a server may have executed it.
+    """
 
     DONE = "done"
     NOT_RUN = "not_run"
--- a/tools/write_catalogues.py
+++ b/tools/write_catalogues.py
@@ -14,7 +14,8 @@
 _ERRORS_HEAD = """# Result codes
 
 Every answer carries `code`, `name` and `outcome`. `outcome` is `done`, `not_run` or `unknown`;
-`not_run` means that the request did not run, `unknown` that it may have. Codes of one hundred
+`not_run` means that the request did not run (of a read: that no rows are answered, though a server
+may have executed it), `unknown` that it may have. Codes of one hundred
 belong together: 1xx wrong input, 2xx refused before running, 3xx outcome unknown, 4xx
 configuration edits, 5xx platform, 6xx settings, 9xx internal. A refusal that a repeat may cure
 carries `retry_after_ms`.
