Count a transaction's statement once its queue has admitted it

Cause: a statement that the owner's queue refused counted as sent, so a busy moment ended the transaction at its next request. Change: the sequence is checked after the slot is taken. A refusal that left the statement uncounted may be repeated with the same number. A statement that waited uses the rest of its deadline only. Tests: with the count before the slot the new test fails.

--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -122,10 +122,13 @@
         transaction = self._transactions.find(message.number, message.session_id)
         owned = self._owned[transaction.server_id]
         deadline = asyncio.get_running_loop().time() + message.remaining_ms / 1000
-        await self._transactions.admit(transaction, message.sequence)
         async with owned.slot(transaction, deadline):
+            # A statement that the queue refuses is not counted, so it may be sent again.
+            await self._transactions.admit(transaction, message.sequence)
             answer = await self._transactions.execute(
-                transaction, message.exchange, timeout=message.remaining_ms / 1000
+                transaction,
+                message.exchange,
+                timeout=deadline - asyncio.get_running_loop().time(),
             )
         return ExecuteReply(answer.rows, answer.term, answer.position)
 
--- a/src/wigeonpoint/process/_transaction_router.py
+++ b/src/wigeonpoint/process/_transaction_router.py
@@ -177,8 +177,7 @@
         try:
             reply = await self._send(transaction.address, message, ExecuteReply, deadline)
         except InvalidRequest as error:
-            # The owner itself refused the statement, so it has counted it. After any other error
-            # the next request does not fit and the transaction is rolled back.
+            # The server itself refused the statement, so the owner has counted it.
             if error.code not in _TRANSACTION_ENDED:
                 error.transaction = following
             raise
--- a/tests/test_transaction_sequence.py
+++ b/tests/test_transaction_sequence.py
@@ -10,7 +10,8 @@
 
 from tests.entries import Entry, Fleet, after
 from wigeonpoint.connection import RollbackMessage, StatementMessage
-from wigeonpoint.errors import InvalidRequest, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.errors import InvalidRequest, NotRun, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.process._owner import OwnedServer
 from wigeonpoint.request import Access, Answer, Statement
 from wigeonpoint.standins import MemberOptions
 from wigeonpoint.version import Durability
@@ -112,6 +113,24 @@
         await caller.commit(2)
         assert (fleet.executions("n"), fleet.executions("m")) == (1, 1)
 
+    async def test_statement_refused_by_the_queue_is_repeated(
+        self, fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a transaction that ends because its owner was busy for a moment."""
+        caller = _Caller(fleet)
+        await caller.begin(1)
+
+        def refuse(*_: object, **__: object) -> None:
+            raise NotRun(ResultCode.QUEUE_FULL, "busy")
+
+        with monkeypatch.context() as busy:
+            busy.setattr(OwnedServer, "slot", refuse)
+            assert await caller.put(1, "ADD n 1") is None
+        caller.sent -= 1
+        assert await caller.put(2, "ADD n 1") is not None
+        await caller.commit(0)
+        assert fleet.executions("n") == 1
+
     async def test_second_commit_waits_and_is_not_sent(self, fleet: Fleet) -> None:
         """Guards against a commit on a connection that was given back by the first commit."""
         caller = _Caller(fleet)
