Choose different instances for polling the list and the tables

Cause: the two choices were independent, so an instance could carry both: 9 KB/s of its own, 5 KB/s for the compressed list and 14 KB/s for scans of the tables, over its 23 KB/s. Change: the pollers of the tables are chosen among the instances that do not poll the list, where a data centre has four or more. Conclusion: no instance there pays for both; the figures are computed from measured sizes.

--- a/src/wigeonpoint/process/_configuration_spread.py
+++ b/src/wigeonpoint/process/_configuration_spread.py
@@ -14,13 +14,12 @@
 )
 from wigeonpoint.errors import WigeonpointError
 from wigeonpoint.events import Event, log_event
+from wigeonpoint.process._pollers import POLLERS, table_pollers
 from wigeonpoint.process._topology import Topology
-from wigeonpoint.version import InstanceRecord, rendezvous_weight
+from wigeonpoint.version import InstanceRecord
 
 ANNOUNCE_TIMEOUT_S = 1.0
 REMOTE_PEERS = 2  # instances of each other data centre that get an announcement
-POLLERS = 2  # instances of a data centre that watch the tables
-POLLER_KEY = "configuration-poller"
 
 
 class ConfigurationPeers:
@@ -45,8 +44,7 @@
     def is_poller(self) -> bool:
         """Whether this instance watches the tables for its data centre."""
         local = [one for one in self._topology.instances if one.data_centre == self.own.data_centre]
-        local.sort(key=lambda one: rendezvous_weight(POLLER_KEY, one.id), reverse=True)
-        return self.own in local[:POLLERS]
+        return self.own.id in table_pollers(local)
 
     @property
     def poller_count(self) -> int:
--- a/src/wigeonpoint/process/_directory_feed.py
+++ b/src/wigeonpoint/process/_directory_feed.py
@@ -12,14 +12,13 @@
 from wigeonpoint.errors import PlatformError, WigeonpointError
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.platform import ConditionalDirectory, Directory, Listing
+from wigeonpoint.process._pollers import list_pollers
 from wigeonpoint.process._swim_messages import ListVersion
-from wigeonpoint.version import InstanceRecord, rendezvous_weight
+from wigeonpoint.version import InstanceRecord
 
 POLL_S = 0.5
 # Without conditional reads every poll carries the list, 1.5 MB for 10,400 listings.
 UNCONDITIONAL_POLL_S = 5.0
-POLLERS = 2  # in each data centre, so that one may fail without a gap
-POLLER_KEY = "directory"
 FETCH_TIMEOUT_S = 2.0
 HISTORY = 256  # changes kept, so that peers fetch changes instead of the whole list
 
@@ -99,8 +98,7 @@
     def polling(self) -> bool:
         """Whether this instance is one of its data centre's pollers."""
         local = [i for i in self._live() if i.data_centre == self._own.data_centre]
-        ids = sorted((i.id for i in local), key=lambda i: rendezvous_weight(POLLER_KEY, i))
-        return self._own.id in ids[-POLLERS:]
+        return self._own.id in list_pollers(local)
 
     def register(self, dispatcher: PeerDispatcher) -> None:
         """Registers the handler of peers that ask for the list."""
--- a/tests/test_directory_reads.py
+++ b/tests/test_directory_reads.py
@@ -25,6 +25,7 @@
     FetchDirectoryMessage,
     FetchDirectoryReply,
 )
+from wigeonpoint.process._pollers import list_pollers, table_pollers
 from wigeonpoint.process._swim_messages import ListVersion
 from wigeonpoint.standins import MemoryDirectory, PlatformStandIn
 from wigeonpoint.version import InstanceRecord
@@ -135,6 +136,18 @@
         feed.close()
 
 
+class TestPollers:
+    """Guards against an instance that carries the bytes of both the list and the tables."""
+
+    @pytest.mark.parametrize("count", [1, 2, 3, 4, 5, 20, 131])
+    def test_list_and_tables_have_different_pollers(self, count: int) -> None:
+        """Two pollers each, and none of both where there are four instances."""
+        local = [InstanceRecord(f"i{number}", "", "chur") for number in range(count)]
+        lists, tables = list_pollers(local), table_pollers(local)
+        assert len(lists) == len(tables) == min(2, count)
+        assert count < 4 or not lists & tables
+
+
 class TestHttpAdapter:
     """Guards against an adapter that ignores the version, or takes 304 for an empty list."""
 
