Replay transactions, edits, shutdowns and dropped connections

The replayer gains steps for transactions, edits through an instance or straight in the tables, SIGTERM on the virtual clock and dropped connections, and counts half-held transactions, foreign or partial answers, requests cut off by a shutdown, work at leaving members and configuration numbers that go back.

platform-down-then-primary-killed failed with never_resolved 3 over 0: callers gave up repeating an entry after 30 s, while the trace leaves the group without a primary for 33 s. Repeats now last 45 s in this trace (resolve_s); the bounds are unchanged and hold.

connection-dropped-before-a-commit shows a fault that stays open: a commit that the server never got stays unknown while its term lasts.

--- /dev/null
+++ b/tests/replay/_transactions.py
@@ -0,0 +1,100 @@
+"""Callers that write two keys in one transaction, each step on another instance."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from typing import TYPE_CHECKING, Any
+
+from tests.replay._trace import Step
+
+if TYPE_CHECKING:
+    from tests.replay._replayer import Body, Driver, Findings
+
+PAUSE_S = 0.1
+DEADLINE_MS = 2_000
+DECISIVE = ("transaction_lost", "transaction_conflict")  # refusals that rule a commit out
+
+
+def transaction_callers(
+    step: Step, driver: Driver, findings: Findings, seed: int
+) -> list[asyncio.Task[None]]:
+    """Starts the callers of a `transactions` step."""
+    end = asyncio.get_running_loop().time() + step.seconds
+    return [
+        asyncio.create_task(_TransactionCaller(step, number, driver, findings, seed).run(end))
+        for number in range(step.callers)
+    ]
+
+
+class _TransactionCaller:
+    """Appends one entry to each of two keys in a transaction, until its outcome is known."""
+
+    def __init__(
+        self, step: Step, number: int, driver: Driver, findings: Findings, seed: int
+    ) -> None:
+        self._name = f"{step.id or 'transactions'}-{number}"
+        self._driver = driver
+        self._findings = findings
+        self._resolve_s = step.resolve_s
+        self._choice = random.Random(seed + number)
+        self._session: str | None = None
+
+    async def run(self, end: float) -> None:
+        loop = asyncio.get_running_loop()
+        for number in itertools.count():
+            if loop.time() >= end:
+                return
+            await self._transaction(f"{self._name}-{number}")
+            await asyncio.sleep(PAUSE_S)
+
+    async def _transaction(self, name: str) -> None:
+        begun = await self._send("begin", route="closures")
+        if begun is None or begun["outcome"] != "done":
+            return
+        path = begun["transaction"]
+        for half in "xy":
+            answer = await self._send(
+                f"{path}/statements",
+                text="APPEND ? ?",
+                parameters=[f"entries-{self._name}.{half}", f"{name}.{half}"],
+                access="write",
+            )
+            if answer is None or answer["outcome"] != "done":
+                self._note(self._findings.refused, name)  # without a commit nothing may be held
+                return
+        await self._commit(path, name)
+
+    async def _commit(self, path: str, name: str) -> None:
+        """Repeats a commit under its id; after an unknown outcome few refusals decide."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + self._resolve_s
+        unclear = False
+        while True:
+            answer = await self._send(f"{path}/commit", request_id=name)
+            outcome = "unknown" if answer is None else answer["outcome"]
+            if outcome == "done":
+                self._findings.transactions += 1
+                for half in "xy":
+                    self._findings.acknowledged[f"{name}.{half}"] = loop.time()
+                return
+            if outcome == "not_run" and (not unclear or answer and answer["name"] in DECISIVE):
+                self._note(self._findings.refused, name)
+                return
+            unclear = True
+            if loop.time() >= end:
+                self._findings.unresolved.add(name)
+                return
+            await asyncio.sleep(PAUSE_S)
+
+    def _note(self, found: set[str], name: str) -> None:
+        found.update(f"{name}.{half}" for half in "xy")
+
+    async def _send(self, path: str, **body: Any) -> Body | None:
+        instance = self._choice.choice(self._driver.instances)
+        body.update(session=self._session, deadline_ms=DEADLINE_MS)
+        answer = await self._driver.transaction(instance, path, body)
+        if answer is not None and answer.get("session"):
+            self._session = answer["session"]
+        return answer
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -19,6 +19,21 @@
         "instance-starts-during-platform-outage",
         "aged-reads-in-a-cut-off-data-centre",
         "primary-leaves",
+        "platform-down-then-primary-killed",
+        "connection-dropped-before-a-commit",
+        "transactions-while-the-primary-and-an-instance-die",
+        "transactions-with-dropped-connections",
+        "dropped-connections-around-writes",
+        "same-request-id-on-two-instances-and-after-a-failover",
+        "operators-edit-at-the-same-moment",
+        "edit-while-a-data-centre-is-cut-off",
+        "edit-while-the-platform-loses-answers",
+        "platform-slow-for-a-minute",
+        "member-reports-leaving-and-is-listed-late",
+        "instance-listed-as-leaving-late",
+        "instances-replaced-under-load-and-transactions",
+        "instance-shut-down-while-the-primary-dies",
+        "primary-cut-off-while-an-instance-dies-and-replicas-lag",
     ]
 )
 
