--- a/tests/replay/_observer.py
+++ b/tests/replay/_observer.py
@@ -40,7 +40,9 @@
         self._leaving_since.setdefault(address, asyncio.get_running_loop().time())
 
     def drop(self, stage: str, call: str, times: int) -> None:
-        """Drops the connection at a stage of the next calls of a kind."""
+        """Drops the connection at a stage of the next calls of a kind; 0 times ends that."""
+        if not times:
+            self._drops = [one for one in self._drops if one != (stage, call)]
         self._drops.extend([(stage, call)] * times)
 
     async def on_exchange(self, stage: str, address: str, call: str) -> None:
--- a/tests/replay/_replayer.py
+++ b/tests/replay/_replayer.py
@@ -72,6 +72,17 @@
         ...
 
 
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """An answer: seconds after the start, instance, kind, outcome, and whether of a replica."""
+
+    at: float
+    instance: str
+    kind: str
+    outcome: str
+    from_replica: bool
+
+
 @dataclass(slots=True)
 class Findings:
     """What a replay found.
@@ -88,6 +99,9 @@
         wrong_answers: Answers with entries of another caller, or without earlier ones of its own.
         transactions: Acknowledged transactions.
         seen: What the driver saw.
+        open_transactions: Latest transaction of each caller of transactions.
+        started_at: Event-loop time of the first step.
+        answered: Every answer that arrived.
     """
 
     answers: dict[str, Body | None] = field(default_factory=dict)
@@ -101,6 +115,16 @@
     wrong_answers: int = 0
     transactions: int = 0
     seen: Observations = field(default_factory=Observations)
+    open_transactions: dict[str, str] = field(default_factory=dict)
+    started_at: float = 0.0
+    answered: list[Answered] = field(default_factory=list)
+
+    def note(self, instance: str, kind: str, answer: Body | None) -> None:
+        """Records an answer for the counts by time and instance."""
+        if answer is not None:
+            at = asyncio.get_running_loop().time() - self.started_at
+            replica = bool(answer.get("from_replica"))
+            self.answered.append(Answered(at, instance, kind, answer["outcome"], replica))
 
     @property
     def half_transactions(self) -> set[str]:
@@ -138,7 +162,7 @@
     """
     findings = Findings()
     loop = asyncio.get_running_loop()
-    start = loop.time()
+    start = findings.started_at = loop.time()
     running = []
     for step in sorted(trace.steps, key=lambda step: step.at):
         await asyncio.sleep(max(0.0, start + step.at - loop.time()))
@@ -217,7 +241,9 @@
         earlier = findings.answers.get(step.session_of) or {}
         body["session"] = earlier.get("session")
     body.setdefault("deadline_ms", DEADLINE_MS)
-    findings.answers[step.id] = await driver.statement(step.target, body)
+    answer = await driver.statement(step.target, body)
+    findings.answers[step.id] = answer
+    findings.note(step.target, body["access"], answer)
 
 
 async def _edit(step: Step, driver: Driver, findings: Findings) -> None:
@@ -310,6 +336,7 @@
         instance = self._choice.choice(self._instances or self._driver.instances)
         body.update(route="closures", session=self._session, deadline_ms=DEADLINE_MS)
         answer = await self._driver.statement(instance, body)
+        self._findings.note(instance, body["access"], answer)
         if answer is not None and answer.get("session"):
             self._session = answer["session"]
         return answer
--- a/tests/replay/_transactions.py
+++ b/tests/replay/_transactions.py
@@ -64,8 +64,20 @@
             if answer is None or answer["outcome"] != "done":
                 self._note(self._findings.refused, name)  # without a commit nothing may be held
                 return
+        await self._intrude(path)
         await self._commit(path, name)
 
+    async def _intrude(self, path: str) -> None:
+        """Sends a statement into a transaction that another session has open."""
+        others = self._findings.open_transactions
+        target = next((other for owner, other in others.items() if owner != self._name), None)
+        others[self._name] = path
+        if target is not None:
+            answer = await self._send(
+                f"{target}/statements", text="GET k", parameters=[], access="read"
+            )
+            self._findings.wrong_answers += answer is not None and answer["outcome"] == "done"
+
     async def _commit(self, path: str, name: str) -> None:
         """Repeats a commit under its id; after an unknown outcome few refusals decide."""
         loop = asyncio.get_running_loop()
@@ -95,6 +107,7 @@
         instance = self._choice.choice(self._driver.instances)
         body.update(session=self._session, deadline_ms=DEADLINE_MS)
         answer = await self._driver.transaction(instance, path, body)
+        self._findings.note(instance, "transaction", answer)
         if answer is not None and answer.get("session"):
             self._session = answer["session"]
         return answer
--- a/tests/replay/_virtual.py
+++ b/tests/replay/_virtual.py
@@ -256,7 +256,9 @@
 
     def _do_member(self, step: Step) -> None:
         member = self.network.members[step.target]
-        for name, value in step.body.items():
+        options = dict(step.body)
+        self.network.lag[step.target] = options.pop("lag_ms", 0) / 1000
+        for name, value in options.items():
             setattr(member.options, name, value)
         if member.options.leaving:
             self._observer.note_leaving(step.target)
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -20,6 +20,8 @@
         "aged-reads-in-a-cut-off-data-centre",
         "primary-leaves",
         "platform-down-then-primary-killed",
+        "sessions-while-one-replica-is-far-behind",
+        "connections-dropped-as-the-primary-dies",
         "connection-dropped-before-a-commit",
         "transactions-while-the-primary-and-an-instance-die",
         "transactions-with-dropped-connections",
