Check stated ages of reads in a cut-off data centre, and list the proofs

Readers compare every aged answer with the entries that were acknowledged earlier than the stated age. With ages taken for proved, the cut-off data centre serves older data and the trace fails.

--- a/tests/replay/_replayer.py
+++ b/tests/replay/_replayer.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
+from tests.replay._readers import read_aged
 from tests.replay._trace import Step, Trace
 from tests.replay._transactions import transaction_callers
 
@@ -92,9 +93,11 @@
         acknowledged: Entries whose append was acknowledged, with the time.
         refused: Entries whose append was answered with "not run".
         unresolved: Entries whose outcome stayed unknown.
-        stale_reads: Reads that lacked an entry that their session had seen acknowledged.
+        stale_reads: Reads that lacked an entry that their session had seen acknowledged, or one
+            that was acknowledged earlier than the stated age.
         ledger: Entries in the database.
         reads: Answered reads of streams.
+        aged_reads: Answered reads with a stated age, of readers.
         replica_reads: Answered reads of streams that a replica served.
         wrong_answers: Answers with entries of another caller, or without earlier ones of its own.
         transactions: Acknowledged transactions.
@@ -111,6 +114,7 @@
     stale_reads: int = 0
     ledger: Counter[str] = field(default_factory=Counter)
     reads: int = 0
+    aged_reads: int = 0
     replica_reads: int = 0
     wrong_answers: int = 0
     transactions: int = 0
@@ -170,6 +174,8 @@
             running.extend(_streams(step, driver, findings))
         elif step.do == "transactions":
             running.extend(transaction_callers(step, driver, findings, SEED))
+        elif step.do == "readers":
+            running.append(asyncio.create_task(read_aged(step, driver, findings, SEED)))
         elif step.do == "edit":
             running.append(asyncio.create_task(_edit(step, driver, findings)))
         elif step.do == "statement":
@@ -216,6 +222,8 @@
         broken.append(f"in force everywhere after {seen.in_force_s:.2f} s")
     if len(findings.acknowledged) < expected.min_acknowledged:
         broken.append(f"acknowledged {len(findings.acknowledged)}")
+    if findings.aged_reads < expected.min_aged_reads:
+        broken.append(f"aged reads {findings.aged_reads}")
     if expected.longest_gap_s is not None and findings.longest_gap_s > expected.longest_gap_s:
         broken.append(f"gap of {findings.longest_gap_s:.2f} s")
     for step_id, answer in expected.answers.items():
--- a/tests/replay/_trace.py
+++ b/tests/replay/_trace.py
@@ -47,6 +47,7 @@
         "statement",
         "stream",
         "transactions",
+        "readers",
         "drop",
         "kill",
         "pause",
@@ -95,6 +96,7 @@
     numbers_at_end: int = 1
     in_force_s: float | None = None
     min_acknowledged: int = 0
+    min_aged_reads: int = 0
     longest_gap_s: float | None = None
     answers: dict[str, ExpectedAnswer] = Field(default_factory=dict)
 
--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -22,6 +22,7 @@
         "platform-down-then-primary-killed",
         "sessions-while-one-replica-is-far-behind",
         "connections-dropped-as-the-primary-dies",
+        "aged-readers-in-a-cut-off-data-centre",
         "connection-dropped-before-a-commit",
         "transactions-while-the-primary-and-an-instance-die",
         "transactions-with-dropped-connections",
--- a/tests/test_proofs_mutations.py
+++ b/tests/test_proofs_mutations.py
@@ -18,6 +18,7 @@
 from wigeonpoint.process._attempt import RequestAttempt
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
 from wigeonpoint.process._drain import Drain
+from wigeonpoint.process._position_samples import PositionSamples
 from wigeonpoint.standins import DatabaseMemberStandIn
 from wigeonpoint.version import BackendServer, GroupConfirmer, GroupView
 
@@ -29,6 +30,10 @@
     patch.setattr(RequestAttempt, "required", property(lambda self: first))
 
 
+def _take_any_age_for_proved(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(PositionSamples, "age", lambda self, at, now: 0.0)
+
+
 def _confirm_with_one_member(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(GroupConfirmer, "majority", 1)
 
@@ -88,6 +93,11 @@
         "sessions-while-one-replica-is-far-behind",
         "stale_reads",
     ),
+    "1-ages-not-proved": (
+        _take_any_age_for_proved,
+        "aged-readers-in-a-cut-off-data-centre",
+        "stale_reads",
+    ),
     "2-confirmation-by-one-member": (
         _confirm_with_one_member,
         "primary-data-centre-cut-off",
--- a/tools/replay_report.py
+++ b/tools/replay_report.py
@@ -80,6 +80,7 @@
         "acknowledged": len(findings.acknowledged),
         "reads": findings.reads,
         "replica_reads": findings.replica_reads,
+        "aged_reads": findings.aged_reads,
         "missing": len(findings.missing),
         "run_twice": len(findings.run_twice),
         "not_run": len(findings.refused),
