--- /dev/null
+++ b/tools/trial_placement.py
@@ -0,0 +1,373 @@
+"""Compares learned placement of backend-server ownership with plain rendezvous hashing, as JSON.
+
+Follows the two time scales of "Distributed Online Learning of Cooperative Caching in Edge Cloud"
+(Lyu, Ren, Ni, Tian, Liu, Tao): each epoch averages a mini-batch of observations and makes one
+stochastic-gradient step, with a decreasing step size, on one placement weight an instance; dispatch
+within the epoch is unchanged. Virtual and seeded:
+`PYTHONPATH=src:. python -m tools.trial_placement`.
+"""
+
+from __future__ import annotations
+
+import functools
+import heapq
+import json
+import math
+import random
+import statistics
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+import click
+
+from wigeonpoint.version._servers import rendezvous_weight
+
+EPOCHS_PER_HOUR = 12  # a mini-batch of five minutes
+BATCH = 20  # observations of a mini-batch
+HOURS = 4
+CHANGE_EPOCH = HOURS * EPOCHS_PER_HOUR // 2  # the load pattern changes here
+CHANGED_PART = 1 / 3  # of the servers, which exchange their loads
+NOISE = 0.5  # standard deviation of the logarithm of one observation
+HASH_RANGE = 2**64
+ENTRY_COST, OWNER_COST, FORWARD_COST = 1.0, 1.0, 0.5  # processor work; forwarding on both sides
+OBSERVERS = 4  # instances that learn from observations of their own age
+CANDIDATES = 16  # a server
+ARRIVALS = 4  # instances, drawn with repetition, to which the callers of a server keep connections
+PREFERENCE = 3.0  # of the instance at which the statements of a server arrive
+
+Placement = dict[str, str]
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """Instances and servers by data centre.
+
+    Attributes:
+        skew: Exponent of the Zipf distribution of load over servers.
+        replaced_per_hour: Instances that are replaced.
+    """
+
+    name: str
+    instances: dict[str, int]
+    servers: dict[str, int]
+    skew: float
+    replaced_per_hour: float
+
+
+DEPLOYMENTS = [
+    Deployment("ostschweiz", {"c": 2, "s": 1, "g": 2}, {"c": 3, "s": 3, "g": 3}, 0.8, 1),
+    Deployment(
+        "jm-north", {"o": 2, "r": 1, "b": 1, "a": 1}, {"o": 3, "r": 2, "b": 2, "a": 2}, 0.8, 1
+    ),
+    # 1,400 of 1,700 instances are replaced a day, so 4.5 an hour of 131.
+    Deployment("one-data-centre-skew-0.4", {"d": 131}, {"d": 670}, 0.4, 4.5),
+    Deployment("one-data-centre-skew-0.8", {"d": 131}, {"d": 670}, 0.8, 4.5),
+]
+
+
+@dataclass
+class World:
+    """Load and arrival of statements; changes with time."""
+
+    deployment: Deployment
+    kept_connections: bool
+    source: random.Random
+    instances: dict[str, str] = field(default_factory=dict)  # id to data centre
+    servers: dict[str, str] = field(default_factory=dict)
+    load: dict[str, float] = field(default_factory=dict)
+    arrivals: dict[str, Counter[str]] = field(default_factory=dict)
+    started: int = 0
+
+    def __post_init__(self) -> None:
+        for data_centre, count in self.deployment.instances.items():
+            for _ in range(count):
+                self.start_instance(data_centre)
+        for data_centre, count in self.deployment.servers.items():
+            self.servers.update({f"{data_centre}-db-{n}": data_centre for n in range(count)})
+        ranks = list(range(1, len(self.servers) + 1))
+        self.source.shuffle(ranks)
+        for server, rank in zip(self.servers, ranks, strict=True):
+            self.load[server] = rank**-self.deployment.skew
+        for server in self.servers:
+            self._arrive(server)
+
+    def start_instance(self, data_centre: str) -> None:
+        """Adds an instance with a new id."""
+        self.instances[f"{data_centre}-{self.started}"] = data_centre
+        self.started += 1
+
+    def replace_instance(self) -> None:
+        """Replaces an instance by one with another id; its callers connect elsewhere."""
+        lost = self.source.choice(list(self.instances))
+        self.start_instance(self.instances.pop(lost))
+        for server, shares in self.arrivals.items():
+            if lost in shares:
+                self._arrive(server)
+
+    def change_pattern(self) -> None:
+        """Exchanges the loads of a part of the servers."""
+        changed = self.source.sample(list(self.servers), int(len(self.servers) * CHANGED_PART))
+        loads = [self.load[server] for server in changed]
+        self.load.update(zip(changed, loads[1:] + loads[:1], strict=True))
+
+    def observe(self) -> dict[str, float]:
+        """Mean of a mini-batch of noisy observations of work by server."""
+        return {
+            server: load
+            * statistics.fmean(self.source.lognormvariate(0, NOISE) for _ in range(BATCH))
+            for server, load in self.load.items()
+        }
+
+    def arriving(self, server: str, instance: str) -> float:
+        """Share of the statements for a server that arrive at an instance."""
+        if not self.kept_connections:
+            return 1 / len(self.instances)
+        shares = self.arrivals[server]
+        return shares[instance] / ARRIVALS
+
+    def _arrive(self, server: str) -> None:
+        self.arrivals[server] = Counter(self.source.choices(list(self.instances), k=ARRIVALS))
+
+
+class Learner:
+    """Weights of instances, learned from observed processor work."""
+
+    def __init__(self, preference: float, first_step: float) -> None:
+        self.preference = preference
+        self.first_step = first_step
+        self.weights: dict[str, float] = {}
+        self._steps = 0
+
+    def step(self, work: dict[str, float]) -> None:
+        """One gradient step on the squared relative deviation of the work of instances."""
+        self._steps += 1
+        mean = statistics.fmean(work.values())
+        rate = self.first_step / math.sqrt(self._steps)
+        for instance, amount in work.items():
+            weight = self.weights.get(instance, 1.0)
+            self.weights[instance] = weight * math.exp(-rate * (amount / mean - 1))
+
+    def score(self, world: World, server: str, instance: str) -> float:
+        """The lowest score owns a server."""
+        score = draw(server, instance) / self.weights.get(instance, 1.0)
+        if self.preference:
+            score *= math.exp(-self.preference * world.arriving(server, instance))
+        return score
+
+
+@functools.cache
+def draw(server: str, instance: str) -> float:
+    """Exponentially distributed draw; the lowest quotient of draw and weight owns a server."""
+    return -math.log((rendezvous_weight(server, instance) + 1) / HASH_RANGE)
+
+
+def candidates(world: World) -> dict[str, list[str]]:
+    """Instances that may own each server: those of its data centre with the lowest draws."""
+    local: dict[str, list[str]] = defaultdict(list)
+    for instance, data_centre in world.instances.items():
+        local[data_centre].append(instance)
+    return {
+        server: heapq.nsmallest(CANDIDATES, local[data_centre], key=lambda i: draw(server, i))
+        for server, data_centre in world.servers.items()
+    }
+
+
+def place(world: World, learner: Learner | None, allowed: dict[str, list[str]]) -> Placement:
+    """Owners by rendezvous hashing, weighted when a learner is given."""
+    if learner is None:
+        return {server: instances[0] for server, instances in allowed.items()}
+    return {
+        server: min(instances, key=lambda i: learner.score(world, server, i))
+        for server, instances in allowed.items()
+    }
+
+
+def work_of(world: World, load: dict[str, float], placement: Placement) -> dict[str, float]:
+    """Processor work of each instance."""
+    even = 0.0 if world.kept_connections else sum(load.values()) / len(world.instances)
+    work = dict.fromkeys(world.instances, even * (ENTRY_COST + FORWARD_COST))
+    for server, owner in placement.items():
+        local = world.arriving(server, owner)
+        work[owner] += load[server] * (OWNER_COST + FORWARD_COST * (1 - 2 * local))
+        if world.kept_connections:
+            for instance in world.arrivals[server]:
+                share = world.arriving(server, instance)
+                work[instance] += load[server] * share * (ENTRY_COST + FORWARD_COST)
+    return work
+
+
+def imbalance(work: Iterable[float]) -> float:
+    """Highest over mean."""
+    values = list(work)
+    return max(values) / statistics.fmean(values)
+
+
+def floor(world: World) -> float:
+    """Lowest imbalance of any placement with even arrival: a server has one owner."""
+    total, hottest = sum(world.load.values()), max(world.load.values())
+    count = len(world.instances)
+    entry, local = total / count * (ENTRY_COST + FORWARD_COST), FORWARD_COST * (1 - 2 / count)
+    mean = total * (ENTRY_COST + OWNER_COST + 2 * FORWARD_COST * (1 - 1 / count)) / count
+    return max(1.0, (entry + hottest * (OWNER_COST + local)) / mean)
+
+
+def forwarded(world: World, placement: Placement) -> float:
+    """Share of statements whose entry is not the owner."""
+    total = sum(world.load.values())
+    local = sum(world.load[s] * world.arriving(s, owner) for s, owner in placement.items())
+    return 1 - local / total
+
+
+@dataclass
+class Tally:
+    """Figures of one or several runs; imbalance and shares leave the first quarter out."""
+
+    runs: int = 1
+    imbalances: list[float] = field(default_factory=list)
+    floors: list[float] = field(default_factory=list)
+    shares: list[float] = field(default_factory=list)
+    moves: Counter[str] = field(default_factory=Counter)
+    disagreeing: list[float] = field(default_factory=list)
+
+    def report(self) -> dict[str, object]:
+        """The means, and ownership moves by cause in the hours of the run."""
+        hours = HOURS * self.runs
+        return {
+            "work_max_over_mean": round(statistics.fmean(self.imbalances), 3),
+            "floor_of_max_over_mean": round(statistics.fmean(self.floors), 3),
+            "forwarded_share": round(statistics.fmean(self.shares), 4),
+            "moves_per_hour": {key: round(n / hours, 2) for key, n in sorted(self.moves.items())},
+            "disagreeing_share": round(statistics.fmean(self.disagreeing or [0.0]), 5),
+            "epochs_with_disagreement": sum(share > 0 for share in self.disagreeing),
+        }
+
+
+def disagreement(views: list[Placement]) -> float:
+    """Share of the owners computed by the observers that differ from the most frequent one."""
+    differing = 0
+    for server in views[0]:
+        owners = Counter(view[server] for view in views)
+        differing += len(views) - owners.most_common(1)[0][1]
+    return differing / (len(views) * len(views[0]))
+
+
+def events(world: World, source: random.Random) -> Iterator[tuple[int, str]]:
+    """Epochs and what changes at their start."""
+    rate = world.deployment.replaced_per_hour / EPOCHS_PER_HOUR
+    due = 0.0
+    for epoch in range(HOURS * EPOCHS_PER_HOUR):
+        cause = "none"
+        if epoch == CHANGE_EPOCH:
+            world.change_pattern()
+            cause = "load_pattern"
+        due += rate
+        if due >= 1 and epoch != CHANGE_EPOCH:
+            due -= 1
+            world.replace_instance()
+            cause = "replacement"
+        yield epoch, cause
+
+
+def run(
+    deployment: Deployment,
+    *,
+    learned: bool,
+    kept: bool,
+    preference: float,
+    late: float,
+    first_step: float,
+    seed: int,
+) -> Tally:
+    """Runs one placement through the hours of the trial."""
+    source = random.Random(seed * 7 + 1)
+    world = World(deployment, kept, random.Random(seed))
+    learners = [Learner(preference, first_step) for _ in range(OBSERVERS)] if learned else []
+    last: dict[str, float] = {}
+    allowed = candidates(world)
+    before: Placement = {}
+    tally = Tally()
+    for _, cause in events(world, source):
+        if cause == "replacement":
+            allowed = candidates(world)
+        views = [place(world, learner, allowed) for learner in learners or [None]]
+        placement = views[0]
+        if learned:
+            tally.disagreeing.append(disagreement(views))
+        for server in before:
+            if placement[server] != before[server]:
+                tally.moves[cause] += 1
+        before = placement
+        tally.imbalances.append(imbalance(work_of(world, world.load, placement).values()))
+        tally.floors.append(floor(world))
+        tally.shares.append(forwarded(world, placement))
+        observed = work_of(world, world.observe(), placement)
+        for learner in learners:
+            # An observation that has not arrived in time is replaced by the one before.
+            seen = {
+                name: last.get(name, amount) if source.random() < late else amount
+                for name, amount in observed.items()
+            }
+            learner.step(seen)
+        last = observed
+    return tally
+
+
+def merged(tallies: list[Tally]) -> dict[str, object]:
+    """The figures of several seeds."""
+    total = Tally(runs=len(tallies))
+    for tally in tallies:
+        quarter = len(tally.imbalances) // 4
+        total.imbalances += tally.imbalances[quarter:]
+        total.floors += tally.floors[quarter:]
+        total.shares += tally.shares[quarter:]
+        total.disagreeing += tally.disagreeing
+        for key, count in tally.moves.items():
+            total.moves[key] += count
+    return total.report()
+
+
+@click.command()
+@click.option("--seeds", default=2, help="Runs with different seeds.")
+@click.option("--first-step", default=0.1, help="Size of the first gradient step.")
+def main(seeds: int, first_step: float) -> None:
+    """Prints the figures of every deployment and placement."""
+    results = []
+    for deployment in DEPLOYMENTS:
+        for kept in (False, True):
+            variants = [("rendezvous", False, 0.0, 0.0), ("learned", True, 0.0, 0.01)]
+            if kept:
+                variants.append(("learned-forwarding", True, PREFERENCE, 0.01))
+            else:
+                variants.append(("learned", True, 0.0, 0.0))
+            for name, learned, preference, late in variants:
+                tallies = [
+                    run(
+                        deployment,
+                        learned=learned,
+                        kept=kept,
+                        preference=preference,
+                        late=late,
+                        first_step=first_step,
+                        seed=seed,
+                    )
+                    for seed in range(1, seeds + 1)
+                ]
+                results.append(
+                    {
+                        "deployment": deployment.name,
+                        "arrival": "kept-connections" if kept else "even",
+                        "placement": name,
+                        "late_observations": late,
+                        **merged(tallies),
+                    }
+                )
+    click.echo(
+        json.dumps(
+            {"seeds": seeds, "first_step": first_step, "hours": HOURS, "results": results}, indent=1
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
