--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -136,6 +136,18 @@
         assert [key for key in refused if fleet.executions(key)] == []
         assert all(fleet.executions(key) == 1 for key in done)
 
+    async def test_passed_deadline_sends_nothing(self, fleet: Fleet) -> None:
+        """Guards against a message that is sent after its deadline, whose outcome is unknown."""
+        sent: list[Any] = []
+
+        async def hook(stage: str, address: str, message: Any) -> None:
+            sent.append(message)
+
+        fleet.network.on_message = hook
+        with pytest.raises(NotRun) as raised:
+            await fleet.entries[1].write("ADD n 1", deadline=0)
+        assert (raised.value.code, sent) == (ResultCode.DEADLINE_UNREACHABLE, [])
+
     @pytest.mark.parametrize("removed", [True, False])
     async def test_only_a_confirmed_removal_counts(self, fleet: Fleet, removed: bool) -> None:
         """Guards against "not run" for a message that was given up but may still run."""
