--- a/tests/test_configuration_edits.py
+++ b/tests/test_configuration_edits.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from tests.fleet import POOL, ROUTE, FaultyTables, Fleet
+from tests.faulty_platform import FaultyTables
+from tests.fleet import POOL, ROUTE, Fleet
 from wigeonpoint.errors import ConfigurationRefused, ResultCode, StoreUnavailable
 from wigeonpoint.platform import Delete, Platform, TableTransaction
 from wigeonpoint.request import Rank
--- a/tests/test_configuration_spread.py
+++ b/tests/test_configuration_spread.py
@@ -7,7 +7,8 @@
 import orjson
 import pytest
 
-from tests.fleet import POOL, ROUTE, FaultyTables, Fleet
+from tests.faulty_platform import FaultyTables
+from tests.fleet import POOL, ROUTE, Fleet
 from wigeonpoint.errors import ConfigurationRefused
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
 from wigeonpoint.process._configuration_history import ConfigurationHistory
--- a/tests/test_promotion_machine.py
+++ b/tests/test_promotion_machine.py
@@ -19,7 +19,7 @@
 )
 
 from tests.fakes import FakeBackend, FakeMember, FakeNetwork, add_group
-from tests.fleet import FaultyTables
+from tests.faulty_platform import FaultyTables
 from wigeonpoint.backend import Exchange, MemberRole, MemberStatus
 from wigeonpoint.errors import WigeonpointError
 from wigeonpoint.platform import Row, TableTransaction
