Count dispatches and connections at owners, and split the service bench

Owners expose dispatches, refusals, connections opened, held and refused and the seconds spent opening, with the servers that they no longer own, so that totals do not fall when ownership moves. The bench sends its load from several processes and counts at the queue. Both new tests fail when the tolerance or the kept totals are switched off.

--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -109,11 +109,11 @@
         keys = settings.session_keys
         tokens = SessionTokens(TokenSigner(keys.keys, keys.active, purpose="session"))
         ids = TransactionIds(TokenSigner(keys.keys, keys.active, purpose="transaction"))
-        hints = OverloadHints(transport)
-        self.router = Router(self.topology, hints, tokens, self._configuration, source=source)
+        self.hints = OverloadHints(transport)
+        self.router = Router(self.topology, self.hints, tokens, self._configuration, source=source)
         self.transactions = TransactionRouter(
             self.topology,
-            hints,
+            self.hints,
             tokens,
             ids,
             self._configuration,
--- a/src/wigeonpoint/process/_handover.py
+++ b/src/wigeonpoint/process/_handover.py
@@ -9,6 +9,7 @@
 from wigeonpoint.backend import Backend
 from wigeonpoint.errors import WigeonpointError
 from wigeonpoint.process._owner import OwnedServer
+from wigeonpoint.process._owner_counters import OwnerCounters
 from wigeonpoint.process._topology import Topology
 
 CHECK_S = 1.0
@@ -37,6 +38,12 @@
         self._backend = backend
         self._in_use = in_use
         self._task: asyncio.Task[None] | None = None
+        self._retired = OwnerCounters()
+
+    @property
+    def retired(self) -> OwnerCounters:
+        """Totals of the servers that this instance has dropped."""
+        return self._retired
 
     def start(self) -> None:
         """Starts the periodic check."""
@@ -55,6 +62,7 @@
                 continue
             owned.release_ownership()
             if not owned.pool.open and not self._in_use(server_id):
+                self._retired = self._retired.plus([owned])
                 del self._owned[server_id]
 
     async def _run(self) -> None:
--- a/src/wigeonpoint/process/_metrics.py
+++ b/src/wigeonpoint/process/_metrics.py
@@ -40,6 +40,21 @@
         self._transactions = self._gauge(
             "wigeonpoint_open_transactions", "Open transactions at this owner."
         )
+        self._dispatched = self._gauge(
+            "wigeonpoint_queue_dispatched_total", "Slots granted by this owner, by rank."
+        )
+        self._refused = self._gauge(
+            "wigeonpoint_queue_refused_total", "Work refused by this owner, by rank."
+        )
+        self._refused_here = self._gauge(
+            "wigeonpoint_queue_refused_at_entry_total", "Work refused without asking its owner."
+        )
+        self._connections = self._gauge(
+            "wigeonpoint_connections", "Connections to backend servers by state."
+        )
+        self._opening = self._gauge(
+            "wigeonpoint_connections_opening_seconds_total", "Time spent opening connections."
+        )
 
     def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
         """Renders the metrics.
@@ -72,6 +87,18 @@
         for group in self._core.topology.groups:
             self._terms.set({"group": group.name}, group.term)
         self._transactions.set({}, self._core.owners.open_transactions)
+        self._gather_owner()
+
+    def _gather_owner(self) -> None:
+        counters = self._core.owners.counters
+        for rank in Rank:
+            self._dispatched.set({"rank": str(rank)}, counters.dispatched[rank])
+            self._refused.set({"rank": str(rank)}, counters.refused[rank])
+        self._refused_here.set({}, self._core.hints.refused)
+        self._connections.set({"state": "opened"}, counters.connections_opened)
+        self._connections.set({"state": "held"}, counters.connections_held)
+        self._connections.set({"state": "refused"}, counters.connections_refused)
+        self._opening.set({}, counters.opening_s)
 
 
 class MetricsHandler(RequestHandler):
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -27,6 +27,7 @@
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.process._handover import Handover
 from wigeonpoint.process._owner import DEFAULT_CONNECTIONS, OwnedServer
+from wigeonpoint.process._owner_counters import OwnerCounters
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.version import BackendServer, Durability, GroupView, Pool
 
@@ -59,6 +60,11 @@
         """Number of open transactions."""
         return self._transactions.count
 
+    @property
+    def counters(self) -> OwnerCounters:
+        """Totals of queues and connections since the start, with servers no longer owned."""
+        return self._handover.retired.plus(self._owned.values())
+
     @property
     def owned_servers(self) -> list[str]:
         """Backend servers that this instance holds state for."""
--- a/tests/test_backend_pool.py
+++ b/tests/test_backend_pool.py
@@ -142,6 +142,23 @@
         await send(Rank.BULK, "a", 1000)
         assert len(sent) == 5
 
+    async def test_hint_covers_equal_deadlines(self) -> None:
+        """Guards against hints that the delays of the entry defeat for half of a flood."""
+        sent: list[float] = []
+
+        class Refusing:
+            async def request(self, address: str, message: Any, *_: Any, timeout: float) -> Any:
+                sent.append(message.work.remaining_ms)
+                raise NotRun(ResultCode.DEADLINE_UNREACHABLE, "busy", retry_after_ms=2000)
+
+        hints = OverloadHints(Refusing())
+        for remaining_ms in (2499.0, 2499.8, 2500.0, 2800.0):
+            work = WorkDetails("p", "g", "g-0", "r", Rank.BULK, "a", remaining_ms)
+            with pytest.raises(NotRun):
+                await hints.request("o", BeginMessage(work, "s"), object, timeout=1)
+        assert sent == [2499.0, 2800.0]
+        assert hints.refused == 2
+
 
 class TestOwner:
     """Admission, connections and execution together."""
--- /dev/null
+++ b/tests/test_owner_counters.py
@@ -0,0 +1,34 @@
+"""Totals of queues and connections at an owner."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.entries import Fleet
+from wigeonpoint.request import Rank
+
+pytestmark = pytest.mark.looptime
+
+
+class TestOwnerCounters:
+    """Totals while ownership moves."""
+
+    async def test_totals_keep_servers_that_are_no_longer_owned(self) -> None:
+        """Guards against totals that fall, and so rates below zero, when ownership moves."""
+        fleet = Fleet.build()
+        for number in range(5):
+            await fleet.entries[0].write(f"PUT k{number} v")
+        owner = max(fleet.entries, key=lambda e: e.owners.counters.dispatched[Rank.STANDARD])
+        before = owner.owners.counters
+        assert before.dispatched[Rank.STANDARD] == 5
+        assert before.dispatched[Rank.URGENT] == 0
+        assert before.connections_opened >= 1 and before.opening_s > 0
+        assert before.connections_held == before.connections_refused == 0
+        owner.topology.set_instances([e.record for e in fleet.entries if e is not owner])
+        await asyncio.sleep(0.1)
+        owner.owners.apply_ownership()
+        assert not owner.owners.owned_servers
+        assert owner.owners.counters == before
+        fleet.close()
--- a/tools/bench_service.py
+++ b/tools/bench_service.py
@@ -1,292 +1,86 @@
-"""Measures service by rank under overload: queues on the virtual clock, then real processes.
+"""Measures service by rank, overload, connections and replica reads; prints tables, writes JSON.
 
-`python -m tools.bench_service [--json PATH] [--no-processes]` prints tables; all runs are bounded.
+`PYTHONPATH=src python -m tools.bench_service [--json PATH] [--size SIZE] [--no-processes]
+[--no-virtual]`. Queue policies and replica reads run on a virtual clock, where service times and
+lag are exact; everything else runs through real processes on loopback. All runs are bounded.
 """
 
 from __future__ import annotations
 
 import argparse
-import asyncio
-import itertools
 import json
-import random
-import selectors
-from collections.abc import Callable
-from dataclasses import dataclass
+import multiprocessing
+import time
+from concurrent.futures import Future, ProcessPoolExecutor
 from pathlib import Path
 from typing import Any
 
-from tools.cluster import CALLER_TOKEN, Cluster, call
-from wigeonpoint.errors import NotRun, Outcome
-from wigeonpoint.load import (
-    Arrival,
-    KeptConnections,
-    LoadBounds,
-    Reply,
-    TraceKind,
-    generate,
-    replay,
-)
-from wigeonpoint.process._concurrency import FixedLimit
-from wigeonpoint.process._rank_queue import RankQueue
-from wigeonpoint.process._schedule import FirstInFirstOut, RankedSchedule, StrictPriority
-from wigeonpoint.request import Rank
-
-STATEMENT_S = 0.010
-INSTANCES = 5
-VIRTUAL_S = 10.0
-PROCESS_S = 8.0
-WARM_UP_S = 2.0
-PROCESS_STATEMENT_S = 0.020  # longer, so that the server and not Python is the bottleneck
-PROCESS_CONNECTIONS = 400
+from tools._service_processes import SCENARIOS as PROCESS_SCENARIOS
+from tools._service_processes import ServiceFleet
+from tools._service_summary import print_processes, print_replicas, print_virtual, summarise
+from tools._service_virtual import POLICIES, SCENARIOS, ratios, run_virtual
+from tools.cluster import Cluster
+from tools.measure_replica_reads import LAGS, Trial, run_trial
+
+SIZES = {"ostschweiz": (2, 16), "jm-north": (5, 50)}
+EXPONENTIAL_POLICIES = ("ranked", "first-in-first-out")
+REPLICA_SEEDS = (1, 2, 3)
+REPLICA_VIRTUAL_S = 6.0
+READ_POLICIES = ("replica_reads", "always_primary")  # the second with the first seed only
+WORKERS = 5  # the virtual runs need no clock, but the machine is shared
 SEED = 1
-SIZES = {"ostschweiz": 2, "jm-north": 5}
-
-
-@dataclass(frozen=True)
-class Policy:
-    """A way to queue: a schedule, slots kept for urgent work, and the number of queues."""
-
-    schedule: Callable[[], Any]
-    reserved: int = 0
-    queues: int = 1
-
-
-POLICIES = {
-    "ranked": Policy(RankedSchedule),
-    "ranked, 1 slot kept": Policy(RankedSchedule, reserved=1),
-    "first-in-first-out": Policy(FirstInFirstOut),
-    "strict priority": Policy(StrictPriority),
-    "ranked, a queue per instance": Policy(RankedSchedule, queues=INSTANCES),
-}
-SCENARIOS = {
-    "calm": (TraceKind.CALM, 1.0),
-    "bulk 1x": (TraceKind.BULK_FLOOD, 0.5),  # with the calm rates of the others: 1 capacity
-    "bulk 2x": (TraceKind.BULK_FLOOD, 2.0),
-    "bulk 4x": (TraceKind.BULK_FLOOD, 4.0),
-    "bulk 8x": (TraceKind.BULK_FLOOD, 8.0),
-    "urgent 4x": (TraceKind.URGENT_STORM, 4.0),
-    "one caller 4x": (TraceKind.CALLER_FLOOD, 4.0),
-}
-
-
-class QueuedServer:
-    """A backend server with slots behind one or several queues, on the virtual clock."""
-
-    def __init__(self, policy: Policy, slots: int, *, exponential: bool) -> None:
-        self._queues = [
-            RankQueue(
-                "server",
-                limit=FixedLimit(slots),
-                schedule=policy.schedule(),
-                reserved=policy.reserved,
-            )
-            for _ in range(policy.queues)
-        ]
-        self._turn = itertools.cycle(self._queues)
-        self._slots = asyncio.Semaphore(slots)
-        self._random = random.Random(SEED)
-        self._exponential = exponential
-        self.flood_done = 0
-        self.others: list[float] = []
-
-    @property
-    def dispatched(self) -> dict[Rank, int]:
-        """Dispatches by rank."""
-        return {rank: sum(queue.dispatched[rank] for queue in self._queues) for rank in Rank}
 
-    async def send(self, arrival: Arrival) -> Reply:
-        """Runs one request."""
-        loop = asyncio.get_running_loop()
-        arrived = loop.time()
-        deadline = arrived + arrival.deadline_ms / 1000
-        try:
-            async with next(self._turn).admit(
-                rank=arrival.rank, caller=arrival.caller, deadline=deadline
-            ) as entry:
-                entry.mark_sent()
-                async with self._slots:
-                    await asyncio.sleep(self._service_s())
-        except NotRun as error:
-            return Reply(error.outcome, int(error.code), error.retry_after_ms)
-        if loop.time() > deadline:
-            return Reply(Outcome.UNKNOWN, 304)
-        if arrival.caller == "flood":
-            self.flood_done += 1
-        elif arrival.rank is Rank.STANDARD:
-            self.others.append(loop.time() - arrived)
-        return Reply(Outcome.DONE, 0)
 
-    def _service_s(self) -> float:
-        return self._random.expovariate(1 / STATEMENT_S) if self._exponential else STATEMENT_S
+def replica_trial(lag: str, seed: int, always_primary: bool) -> dict[str, Any]:
+    """One run of the replica reads."""
+    return run_trial(Trial(lag, REPLICA_VIRTUAL_S, always_primary=always_primary, seed=seed))
 
 
-class _AdvancingSelector(selectors.SelectSelector):
-    """Advances a clock by the time that the event loop asks it to wait.
+def policy_runs(policy: str, slots: int, exponential: bool) -> dict[str, Any]:
+    """All scenarios of a queue policy."""
+    chosen = POLICIES[policy]
+    runs = {s: run_virtual(chosen, slots, s, exponential=exponential) for s in SCENARIOS}
+    return {"runs": runs, "ratios": ratios(runs)}
 
-    looptime makes dozens of empty cycles before it advances, which takes 1 ms for each arrival.
-    """
 
-    now = 0.0
-
-    def select(self, timeout: float | None = None) -> Any:
-        """Advances the clock and returns without waiting."""
-        self.now += max(timeout or 0.0, 0.0)
-        return super().select(0)
-
-
-def virtual_loop() -> asyncio.AbstractEventLoop:
-    """An event loop whose clock advances without waiting."""
-    selector = _AdvancingSelector()
-    loop = asyncio.SelectorEventLoop(selector)
-    loop.time = lambda: selector.now  # type: ignore[method-assign]
-    return loop
-
-
-def run_virtual(policy: Policy, slots: int, scenario: str, *, exponential: bool) -> dict[str, Any]:
-    """One scenario on the virtual clock."""
-    kind, times = SCENARIOS[scenario]
-    capacity = slots / STATEMENT_S
-    trace = generate(kind, route="r", capacity=capacity, seconds=VIRTUAL_S, times=times, seed=SEED)
-
-    async def run() -> dict[str, Any]:
-        server = QueuedServer(policy, slots, exponential=exponential)
-        bounds = LoadBounds(requests=1_000_000, seconds=VIRTUAL_S, in_flight=1_000_000)
-        results = await replay(trace, server, bounds)
-        total = max(sum(server.dispatched.values()), 1)
-        others = sorted(server.others) or [float("inf")]  # strict priority may starve them
+def virtual_figures(sizes: list[str]) -> dict[str, Any]:
+    """Queue policies by size and service time, and replica reads by lag and seed."""
+    context = multiprocessing.get_context("spawn")
+    with ProcessPoolExecutor(WORKERS, mp_context=context) as pool:
+        queues: dict[str, dict[str, Future[Any]]] = {}
+        for size in reversed(sizes):  # the longest runs first
+            for service in ("fixed", "exponential"):
+                names = POLICIES if service == "fixed" else EXPONENTIAL_POLICIES
+                queues[f"{size} {service}"] = {
+                    name: pool.submit(policy_runs, name, SIZES[size][0], service != "fixed")
+                    for name in names
+                }
+        reads = {
+            lag: [
+                {
+                    name: pool.submit(replica_trial, lag, seed, name == "always_primary")
+                    for name in READ_POLICIES[: 2 if seed == REPLICA_SEEDS[0] else 1]
+                }
+                for seed in REPLICA_SEEDS
+            ]
+            for lag in LAGS
+        }
         return {
-            "ranks": results.as_json(VIRTUAL_S)["ranks"],
-            "goodput": results.done / VIRTUAL_S,
-            "dispatch_shares": {
-                str(rank): round(count / total, 4) for rank, count in server.dispatched.items()
+            "queues": {k: {n: f.result() for n, f in row.items()} for k, row in queues.items()},
+            "replica reads": {
+                lag: [{n: f.result() for n, f in row.items()} for row in rows]
+                for lag, rows in reads.items()
             },
-            "other_callers_p99_ms": round(others[int(len(others) * 0.99)] * 1000, 1),
-            "flood_done": server.flood_done,
         }
 
-    loop = virtual_loop()
-    try:
-        return loop.run_until_complete(run())
-    finally:
-        loop.close()
-
-
-def virtual_table(slots: int, *, exponential: bool) -> dict[str, Any]:
-    """All policies and scenarios of a size."""
-    table: dict[str, Any] = {}
-    for name, policy in POLICIES.items():
-        runs = {s: run_virtual(policy, slots, s, exponential=exponential) for s in SCENARIOS}
-        table[name] = {"runs": runs, "ratios": ratios(runs)}
-    return table
 
-
-def ratios(runs: dict[str, Any]) -> dict[str, float]:
-    """The figures that the targets are about."""
-
-    def p99(scenario: str, rank: str = "urgent") -> float:
-        value: float = runs[scenario]["ranks"][rank]["p99_ms"]
-        return value
-
-    storm = runs["urgent 4x"]["dispatch_shares"]
-    return {
-        "urgent p99 bulk 8x / calm": round(p99("bulk 8x") / p99("calm"), 2),
-        "standard share urgent 4x": storm["standard"],
-        "bulk share urgent 4x": storm["bulk"],
-        "goodput 2x / 1x": round(runs["bulk 2x"]["goodput"] / runs["bulk 1x"]["goodput"], 3),
-        "goodput 4x / 1x": round(runs["bulk 4x"]["goodput"] / runs["bulk 1x"]["goodput"], 3),
-        "goodput 8x / 1x": round(runs["bulk 8x"]["goodput"] / runs["bulk 1x"]["goodput"], 3),
-        "others p99 caller flood / calm": round(
-            runs["one caller 4x"]["other_callers_p99_ms"] / runs["calm"]["other_callers_p99_ms"], 2
-        ),
-    }
-
-
-def run_processes(slots: int, connections: int) -> dict[str, Any]:
-    """Calm, bulk at 8 times and urgent at 4 times through real processes on loopback."""
-    found: dict[str, Any] = {}
+def process_figures(size: str) -> dict[str, Any]:
+    """All scenarios of a size through real processes."""
+    slots, connections = SIZES[size]
     with Cluster() as cluster:
-        options = ["--slots", str(slots), "--connections", str(connections)]
-        options += ["--connect-ms", "12", "--statement-ms", str(PROCESS_STATEMENT_S * 1000)]
-        members = cluster.add_group("g", ["a", "a", "a"], options)
-        cluster.put_rows("pools", {"p": {"group": "g"}})
-        cluster.put_rows("routes", {"r": {"pool": "p"}})
-        names = [f"a-{index}" for index in range(INSTANCES)]
-        addresses = [cluster.add_instance(name, "a").address for name in names]
-        cluster.wait_ready(*names)
-        for scenario in ("calm", "bulk 1x", "bulk 8x", "urgent 4x"):
-            found[scenario] = asyncio.run(_replay_processes(scenario, slots, addresses))
-        data = [call("GET", f"http://{m.address}/data").body for m in members]
-        found["connections"] = {
-            "limit": connections,
-            "peak by server": [d["peak_connections"] for d in data],
-        }
-    return found
-
-
-class WindowedSender:
-    """Counts answers in the part of a run in which the load is steady.
-
-    Work done after the last arrival would count a backlog as goodput of the overload.
-    """
-
-    def __init__(self, sender: KeptConnections) -> None:
-        self._sender = sender
-        self._start = asyncio.get_running_loop().time()
-        self.done = 0
-
-    async def send(self, arrival: Arrival) -> Reply:
-        """Sends a request."""
-        reply = await self._sender.send(arrival)
-        at_s = asyncio.get_running_loop().time() - self._start
-        self.done += reply.outcome is Outcome.DONE and WARM_UP_S <= at_s <= PROCESS_S
-        return reply
-
-
-async def _replay_processes(scenario: str, slots: int, addresses: list[str]) -> dict[str, Any]:
-    kind, times = SCENARIOS[scenario]
-    trace = generate(
-        kind,
-        route="r",
-        capacity=slots / PROCESS_STATEMENT_S,
-        seconds=PROCESS_S,
-        times=times,
-        seed=SEED,
-    )
-    sender = KeptConnections(addresses, {"": CALLER_TOKEN})
-    bounds = LoadBounds(seconds=PROCESS_S + 6, in_flight=PROCESS_CONNECTIONS)
-    windowed = WindowedSender(sender)
-    results = await replay(trace, windowed, bounds)
-    sender.close()
-    summary = results.as_json(PROCESS_S)
-    return {
-        "ranks": summary["ranks"],
-        "not_sent": results.not_sent,
-        "goodput": windowed.done / (PROCESS_S - WARM_UP_S),
-    }
-
-
-def print_virtual(size: str, service: str, table: dict[str, Any]) -> None:
-    """Prints the ratios of all policies."""
-    print(f"\n{size}, queue level on the virtual clock, {service} service of 10 ms")
-    for key in table["ranked"]["ratios"]:
-        values = "  ".join(f"{row['ratios'][key]:>8}" for row in table.values())
-        print(f"  {key:32}{values}")
-    print(f"  columns: {'; '.join(table)}")
-
-
-def print_processes(size: str, found: dict[str, Any]) -> None:
-    """Prints the figures of the real processes."""
-    print(f"\n{size}, {INSTANCES} instances as real processes")
-    for scenario, run in found.items():
-        if scenario == "connections":
-            print(f"  connections: {run}")
-            continue
-        for rank, row in run["ranks"].items():
-            figures = f"p50 {row['p50_ms']:.1f} ms, p99 {row['p99_ms']:.1f} ms"
-            done = f"done {row['done']}/{row['sent']}, codes {row['codes']}"
-            print(f"  {scenario:10} {rank:9} {figures}, {done}")
-        print(f"  {scenario:10} goodput {run['goodput']:.1f}/s, not sent {run['not_sent']}")
+        fleet = ServiceFleet(cluster, slots, connections)
+        runs = {name: fleet.run(s, SEED) for name, s in PROCESS_SCENARIOS.items()}
+    return summarise(runs, connections)
 
 
 def main() -> None:
@@ -294,18 +88,22 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--json", type=Path, default=Path("build/bench-service.json"))
     parser.add_argument("--no-processes", action="store_true")
+    parser.add_argument("--no-virtual", action="store_true")
     parser.add_argument("--size", choices=SIZES, help="only this size")
     arguments = parser.parse_args()
+    started = time.monotonic()
+    sizes = [size for size in SIZES if arguments.size in (None, size)]
     found: dict[str, Any] = {}
-    for size, slots in SIZES.items():
-        if arguments.size in (None, size):
-            for service in ("fixed", "exponential"):
-                table = virtual_table(slots, exponential=service == "exponential")
-                found[f"{size} {service}"] = table
-                print_virtual(size, service, table)
-    if not arguments.no_processes and arguments.size in (None, "ostschweiz"):
-        found["ostschweiz processes"] = run_processes(2, 16)
-        print_processes("ostschweiz", found["ostschweiz processes"])
+    if not arguments.no_processes:
+        for size in sizes:
+            found[f"processes {size}"] = process_figures(size)
+            print_processes(size, found[f"processes {size}"])
+    if not arguments.no_virtual:
+        found["virtual"] = virtual_figures(sizes)
+        print_virtual(found["virtual"]["queues"])
+        print_replicas(found["virtual"]["replica reads"])
+    found["seconds"] = round(time.monotonic() - started, 1)
+    print(f"\n{found['seconds']} s in all")
     arguments.json.parent.mkdir(exist_ok=True)
     arguments.json.write_text(json.dumps(found, indent=1))
 
--- a/tools/measure_replica_reads.py
+++ b/tools/measure_replica_reads.py
@@ -58,10 +58,12 @@
         lag: `small`, `changing` or `large`.
         seconds: Virtual seconds to measure.
         always_primary: Whether reads ask for current data, which only the primary gives.
+        seed: Seed of the sessions and of the changes of lag.
     """
 
-    def __init__(self, lag: str, seconds: float, *, always_primary: bool) -> None:
+    def __init__(self, lag: str, seconds: float, *, always_primary: bool, seed: int = SEED) -> None:
         self._lag = lag
+        self._seed = seed
         self._seconds = seconds
         self._always_primary = always_primary
         self._tally = Tally()
@@ -86,7 +88,7 @@
         return self._figures(samples)
 
     async def _session(self, number: int, end: float) -> None:
-        source = random.Random(SEED * 1000 + number)
+        source = random.Random(self._seed * 1000 + number)
         loop = asyncio.get_running_loop()
         session: str | None = None
         while loop.time() < end:
@@ -146,7 +148,7 @@
             await asyncio.sleep(TICK_S)
 
     async def _change_lag(self) -> None:
-        source = random.Random(SEED)
+        source = random.Random(self._seed)
         primary = next(iter(self._fleet.network.members.values()))
         while True:
             if self._lag == "changing":
@@ -182,13 +184,14 @@
     report: dict[str, Any] = {"seed": SEED, "virtual_seconds": seconds, "sessions": SESSIONS}
     for lag in lags:
         report[lag] = {
-            name: _run(Trial(lag, seconds, always_primary=always_primary))
+            name: run_trial(Trial(lag, seconds, always_primary=always_primary))
             for name, always_primary in (("replica_reads", False), ("always_primary", True))
         }
     return report
 
 
-def _run(trial: Trial) -> dict[str, Any]:
+def run_trial(trial: Trial) -> dict[str, Any]:
+    """Runs a trial on a virtual clock of its own."""
     loop = looptime.new_event_loop()
     try:
         return loop.run_until_complete(trial.run())
