Send sequences in replayed transactions, and switch off both layers in two mutations

Cause: confirmation now also counts the recorded members, and transactions carry a sequence, so switching off the listed majority or the session check alone no longer showed a violation. The intruding caller of a trace now picks a transaction that is open at that moment.

--- a/tests/replay/_replayer.py
+++ b/tests/replay/_replayer.py
@@ -102,7 +102,7 @@
         wrong_answers: Answers with entries of another caller, or without earlier ones of its own.
         transactions: Acknowledged transactions.
         seen: What the driver saw.
-        open_transactions: Latest transaction of each caller of transactions.
+        open_transactions: Latest transaction id of each caller, and the requests sent in it.
         started_at: Event-loop time of the first step.
         answered: Every answer that arrived.
     """
@@ -119,7 +119,7 @@
     wrong_answers: int = 0
     transactions: int = 0
     seen: Observations = field(default_factory=Observations)
-    open_transactions: dict[str, str] = field(default_factory=dict)
+    open_transactions: dict[str, tuple[str, int]] = field(default_factory=dict)
     started_at: float = 0.0
     answered: list[Answered] = field(default_factory=list)
 
--- a/tests/replay/_transactions.py
+++ b/tests/replay/_transactions.py
@@ -40,6 +40,8 @@
         self._resolve_s = step.resolve_s
         self._choice = random.Random(seed + number)
         self._session: str | None = None
+        self._transaction_id = ""
+        self._sent = 0  # requests sent in the transaction
 
     async def run(self, end: float) -> None:
         loop = asyncio.get_running_loop()
@@ -47,16 +49,17 @@
             if loop.time() >= end:
                 return
             await self._transaction(f"{self._name}-{number}")
+            self._findings.open_transactions.pop(self._name, None)
             await asyncio.sleep(PAUSE_S)
 
     async def _transaction(self, name: str) -> None:
         begun = await self._send("begin", route="closures")
         if begun is None or begun["outcome"] != "done":
             return
-        path = begun["transaction"]
+        self._transaction_id, self._sent = begun["transaction"], 0
         for half in "xy":
-            answer = await self._send(
-                f"{path}/statements",
+            answer = await self._next(
+                "statements",
                 text="APPEND ? ?",
                 parameters=[f"entries-{self._name}.{half}", f"{name}.{half}"],
                 access="write",
@@ -64,27 +67,47 @@
             if answer is None or answer["outcome"] != "done":
                 self._note(self._findings.refused, name)  # without a commit nothing may be held
                 return
-        await self._intrude(path)
-        await self._commit(path, name)
+        await self._intrude()
+        await self._commit(name)
+
+    async def _next(self, action: str, **body: Any) -> Body | None:
+        """Sends the next request of the transaction, and takes the id that its answer gives."""
+        self._sent += 1
+        path = f"{self._transaction_id}/{action}"
+        answer = await self._send(path, sequence=self._sent, **body)
+        if answer is not None and answer.get("transaction"):
+            self._transaction_id = answer["transaction"]
+        self._findings.open_transactions[self._name] = (self._transaction_id, self._sent)
+        return answer
 
-    async def _intrude(self, path: str) -> None:
+    async def _intrude(self) -> None:
         """Sends a statement into a transaction that another session has open."""
-        others = self._findings.open_transactions
-        target = next((other for owner, other in others.items() if owner != self._name), None)
-        others[self._name] = path
-        if target is not None:
+        others = [
+            opened
+            for owner, opened in self._findings.open_transactions.items()
+            if owner != self._name
+        ]
+        if others:
+            transaction_id, sent = self._choice.choice(others)
             answer = await self._send(
-                f"{target}/statements", text="GET k", parameters=[], access="read"
+                f"{transaction_id}/statements",
+                sequence=sent + 1,
+                text="GET k",
+                parameters=[],
+                access="read",
             )
             self._findings.wrong_answers += answer is not None and answer["outcome"] == "done"
 
-    async def _commit(self, path: str, name: str) -> None:
+    async def _commit(self, name: str) -> None:
         """Repeats a commit under its id; after an unknown outcome few refusals decide."""
         loop = asyncio.get_running_loop()
         end = loop.time() + self._resolve_s
         unclear = False
+        sequence = self._sent + 1  # a repeat of the commit keeps its number
         while True:
-            answer = await self._send(f"{path}/commit", request_id=name)
+            answer = await self._send(
+                f"{self._transaction_id}/commit", sequence=sequence, request_id=name
+            )
             outcome = "unknown" if answer is None else answer["outcome"]
             if outcome == "done":
                 self._findings.transactions += 1
--- a/tests/replay/_virtual.py
+++ b/tests/replay/_virtual.py
@@ -149,14 +149,23 @@
             number, action = path.rsplit("/", 1)
             if action == "commit":
                 answer = await transactions.commit(
-                    number, request_id=body["request_id"], session=session, deadline=deadline
+                    number,
+                    request_id=body["request_id"],
+                    session=session,
+                    deadline=deadline,
+                    sequence=body["sequence"],
                 )
             else:
                 statement = Statement(body["text"], body["parameters"])
                 answer = await transactions.execute(
-                    number, statement, Access(body["access"]), session=session, deadline=deadline
+                    number,
+                    statement,
+                    Access(body["access"]),
+                    session=session,
+                    deadline=deadline,
+                    sequence=body["sequence"],
                 )
-            return _answer_fields(answer)
+            return {**_answer_fields(answer), "transaction": answer.transaction}
 
         return await self._answered(instance, run)
 
--- a/tests/test_proofs_mutations.py
+++ b/tests/test_proofs_mutations.py
@@ -14,6 +14,7 @@
 from wigeonpoint.backend import LogPosition
 from wigeonpoint.channel import JsonChannel
 from wigeonpoint.connection import Transactions
+from wigeonpoint.connection._statement_sequence import StatementSequence
 from wigeonpoint.process import _topology
 from wigeonpoint.process._attempt import RequestAttempt
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
@@ -21,6 +22,7 @@
 from wigeonpoint.process._position_samples import PositionSamples
 from wigeonpoint.standins import DatabaseMemberStandIn
 from wigeonpoint.version import BackendServer, GroupConfirmer, GroupView
+from wigeonpoint.version._group_membership import GroupMembership
 
 LIMIT_S = 20.0  # each violation shows within this time; the end of a cut comes later
 
@@ -38,6 +40,7 @@
 
 def _confirm_with_one_member(patch: pytest.MonkeyPatch) -> None:
     patch.setattr(GroupConfirmer, "majority", 1)
+    patch.setattr(GroupMembership, "has_majority", lambda self, found: True)
 
 
 def _admit_any_session(patch: pytest.MonkeyPatch) -> None:
@@ -48,6 +51,7 @@
         return found if found is not None else find(self, number, session_id)
 
     patch.setattr(Transactions, "find", find_any)
+    patch.setattr(StatementSequence, "follows", lambda self, admitted: True)
 
 
 def _forget_unresolved_attempts(patch: pytest.MonkeyPatch) -> None:
