Decide a commit without an answer instead of leaving it unknown

Change: the primary records the key of the transaction as refused, in a database transaction of its own, and refuses a commit with that key; the refusal is reported once a majority holds it. Ruled out: recording the caller's request id as refused, which would refuse the caller's next transaction under the same id.

--- a/src/wigeonpoint/backend/_protocol.py
+++ b/src/wigeonpoint/backend/_protocol.py
@@ -81,12 +81,14 @@
         term: Term of the last entry that the answer reflects.
         position: Position of the last entry that the answer reflects.
         repeated: Whether the rows were recorded by an earlier run of the request id.
+        refused: Whether a transaction was kept from committing, as `settle` asks for.
     """
 
     rows: list[Any] = field(default_factory=list)
     term: int = 0
     position: int = 0
     repeated: bool = False
+    refused: bool = False
 
     @property
     def at(self) -> LogPosition:
@@ -130,17 +132,27 @@
         """Opens a transaction and gives its term; a commit in another term is refused."""
         ...
 
-    async def recorded(self, request_id: str, *, timeout: float) -> BackendAnswer:
-        """Looks a request id up at the primary.
+    async def settle(
+        self, request_id: str, transaction_key: str, *, timeout: float
+    ) -> BackendAnswer:
+        """Decides at the primary whether a transaction has committed, and keeps it decided.
+
+        Unless the request id is recorded, the key of the transaction is recorded as refused in a
+        database transaction of its own, so that a commit still on its way is refused.
 
         Returns:
-            The recorded answer with `repeated` set, or an answer without it when the log up to
-            its position holds no such id.
+            The recorded answer with `repeated` set, or an answer with `refused` set.
         """
         ...
 
-    async def commit(self, request_id: str | None, *, timeout: float) -> BackendAnswer:
-        """Commits the open transaction and records the request id with it."""
+    async def commit(
+        self, request_id: str | None, transaction_key: str = "", *, timeout: float
+    ) -> BackendAnswer:
+        """Commits the open transaction and records the request id with it.
+
+        Raises:
+            NotRun: TRANSACTION_LOST when the key of the transaction is recorded as refused.
+        """
         ...
 
     async def rollback(self, *, timeout: float) -> None:
--- a/src/wigeonpoint/backend/_websocket.py
+++ b/src/wigeonpoint/backend/_websocket.py
@@ -43,13 +43,19 @@
         """Opens a transaction and gives its term."""
         return int(await self._call("begin", None, timeout))
 
-    async def recorded(self, request_id: str, *, timeout: float) -> BackendAnswer:
-        """Looks a request id up at the primary."""
-        return _ANSWER.validate_python(await self._call("recorded", request_id, timeout))
-
-    async def commit(self, request_id: str | None, *, timeout: float) -> BackendAnswer:
+    async def settle(
+        self, request_id: str, transaction_key: str, *, timeout: float
+    ) -> BackendAnswer:
+        """Decides at the primary whether a transaction has committed, and keeps it decided."""
+        body = {"request_id": request_id, "transaction_key": transaction_key}
+        return _ANSWER.validate_python(await self._call("settle", body, timeout))
+
+    async def commit(
+        self, request_id: str | None, transaction_key: str = "", *, timeout: float
+    ) -> BackendAnswer:
         """Commits the open transaction and records the request id with it."""
-        return _ANSWER.validate_python(await self._call("commit", request_id, timeout))
+        body = {"request_id": request_id, "transaction_key": transaction_key}
+        return _ANSWER.validate_python(await self._call("commit", body, timeout))
 
     async def rollback(self, *, timeout: float) -> None:
         """Rolls the open transaction back."""
--- a/src/wigeonpoint/connection/_messages.py
+++ b/src/wigeonpoint/connection/_messages.py
@@ -65,6 +65,7 @@
     term: int = 0
     position: int = 0
     repeated: bool = False
+    refused: bool = False
 
     @property
     def at(self) -> LogPosition:
@@ -94,11 +95,18 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RecordedMessage:
-    """Asks the primary for the answer recorded under a request id."""
+class SettleMessage:
+    """Decides at the primary whether a transaction has committed, and keeps it decided.
+
+    Attributes:
+        work: Queueing details.
+        request_id: Request id of the commit.
+        transaction_key: Number of the transaction at the owner that began it.
+    """
 
     work: WorkDetails
     request_id: str
+    transaction_key: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/connection/_transactions.py
+++ b/src/wigeonpoint/connection/_transactions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import secrets
 from dataclasses import dataclass, field
 
 from wigeonpoint.backend import BackendAnswer, BackendConnection, Exchange
@@ -13,6 +14,7 @@
 from wigeonpoint.request import Rank
 
 IDLE_TIMEOUT_S = 10.0
+PREFIX_BYTES = 9
 REFUSED = -2  # no request follows this number
 
 
@@ -45,6 +47,8 @@
     def __init__(self, *, idle_timeout: float = IDLE_TIMEOUT_S) -> None:
         self._idle_timeout = idle_timeout
         self._open: dict[str, OpenTransaction] = {}
+        # Numbers stay unique across restarts, because databases record them.
+        self._prefix = secrets.token_urlsafe(PREFIX_BYTES)
         self._numbers = itertools.count(1)
         self._reaper: asyncio.Task[None] | None = None
 
@@ -76,7 +80,7 @@
             pool.discard(connection)
             raise
         transaction = OpenTransaction(
-            number=str(next(self._numbers)),
+            number=f"{self._prefix}-{next(self._numbers)}",
             session_id=session_id,
             group=group,
             server_id=server_id,
@@ -159,7 +163,9 @@
         async with transaction.busy:
             self._require_open(transaction)
             try:
-                return await transaction.connection.commit(request_id, timeout=timeout)
+                return await transaction.connection.commit(
+                    request_id, transaction.number, timeout=timeout
+                )
             except (OutcomeUnknown, asyncio.CancelledError):
                 transaction.connection.close()  # a late answer must not reach a later exchange
                 raise
--- a/src/wigeonpoint/process/_commit_resolution.py
+++ b/src/wigeonpoint/process/_commit_resolution.py
@@ -7,7 +7,7 @@
 from wigeonpoint.connection import (
     ExecuteReply,
     PeerTransport,
-    RecordedMessage,
+    SettleMessage,
     TransactionId,
     WorkDetails,
 )
@@ -21,7 +21,7 @@
 
 
 class CommitResolution:
-    """Looks the request id of a commit up on the confirmed primary.
+    """Has the confirmed primary decide whether a commit took effect.
 
     Args:
         topology: Live instances and groups.
@@ -39,10 +39,9 @@
     ) -> ExecuteReply:
         """Gives the recorded answer of the commit.
 
-        A record proves the commit. Its absence proves the opposite only in a later term than the
-        transaction's: servers refuse a commit in another term than that of its begin, and the
-        confirmed log of the later term is complete. In the same term the commit may still be in
-        flight, on the old connection or in the owner's queue.
+        A record of the request id proves the commit. Without one the commit may still be in
+        flight, on the old connection or in the owner's queue, so the primary records that the
+        transaction is refused; servers also refuse a commit in another term than that of its begin.
 
         Raises:
             NotRun: TRANSACTION_LOST when the commit can no longer take effect.
@@ -52,13 +51,13 @@
         budget = self._budgets.of(transaction.route)
         count = 0
         while loop.time() < deadline:
-            reply = await self._look_up(transaction, pool, request_id, deadline, count)
+            reply = await self._settle(transaction, pool, request_id, deadline, count)
             if reply is not None and reply.repeated:
                 return reply
-            if reply is not None and reply.term > transaction.term:
+            if reply is not None and reply.refused:
                 raise NotRun(
                     ResultCode.TRANSACTION_LOST,
-                    "the primary was replaced before the commit; the transaction was rolled back",
+                    "the commit did not reach the database; the transaction was rolled back",
                 )
             count += 1
             pause = self._budgets.pause(count)
@@ -71,7 +70,7 @@
             "the answer to the commit was lost; repeat it with the same request id",
         )
 
-    async def _look_up(
+    async def _settle(
         self,
         transaction: TransactionId,
         pool: Pool,
@@ -97,7 +96,7 @@
             )
             return await self._transport.request(
                 self._topology.owner_of(primary).address,
-                RecordedMessage(work, request_id),
+                SettleMessage(work, request_id, transaction.number),
                 ExecuteReply,
                 timeout=remaining,
             )
--- a/src/wigeonpoint/process/_owner.py
+++ b/src/wigeonpoint/process/_owner.py
@@ -14,7 +14,7 @@
     ExecuteMessage,
     ExecuteReply,
     OpenTransaction,
-    RecordedMessage,
+    SettleMessage,
     Transactions,
     WorkDetails,
 )
@@ -113,12 +113,14 @@
             )
         return ExecuteReply(answer.rows, answer.term, answer.position, answer.repeated)
 
-    async def recorded(self, message: RecordedMessage) -> BackendAnswer:
-        """Looks a request id up and has the answer, also that of absence, confirmed."""
+    async def settle(self, message: SettleMessage) -> BackendAnswer:
+        """Decides a transaction and has the decision confirmed."""
         deadline = deadline_in(message.work.remaining_ms)
         connection = await self._pool.acquire(deadline=deadline)
         try:
-            answer = await connection.recorded(message.request_id, timeout=remaining_s(deadline))
+            answer = await connection.settle(
+                message.request_id, message.transaction_key, timeout=remaining_s(deadline)
+            )
         finally:
             self._pool.release(connection)
         await self.confirm(answer.at, Durability.MAJORITY, deadline)
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -20,8 +20,8 @@
     ExecuteReply,
     PauseWritesMessage,
     PeerDispatcher,
-    RecordedMessage,
     RollbackMessage,
+    SettleMessage,
     StatementMessage,
     Transactions,
     WorkDetails,
@@ -96,7 +96,7 @@
         dispatcher.register(StatementMessage, self.execute_in_transaction)
         dispatcher.register(CommitMessage, self.commit)
         dispatcher.register(RollbackMessage, self.rollback)
-        dispatcher.register(RecordedMessage, self.recorded)
+        dispatcher.register(SettleMessage, self.settle)
         dispatcher.register(PauseWritesMessage, self._pause.pause)
 
     async def execute(self, message: ExecuteMessage) -> ExecuteReply:
@@ -167,12 +167,14 @@
         await self._transactions.rollback(transaction, timeout=message.remaining_ms / 1000)
         return Acknowledgement()
 
-    async def recorded(self, message: RecordedMessage) -> ExecuteReply:
-        """Looks a request id up; `repeated` is false when the confirmed log does not hold it."""
+    async def settle(self, message: SettleMessage) -> ExecuteReply:
+        """Decides whether a transaction whose commit has no answer took effect."""
         owned = await self._owned_server(message.work)
         with self._use(owned):
-            answer = await owned.recorded(message)
-        return ExecuteReply(answer.rows, answer.term, answer.position, answer.repeated)
+            answer = await owned.settle(message)
+        return ExecuteReply(
+            answer.rows, answer.term, answer.position, answer.repeated, answer.refused
+        )
 
     def close(self) -> None:
         """Rolls open transactions back and closes idle connections."""
