--- a/tests/test_proofs.py
+++ b/tests/test_proofs.py
@@ -44,9 +44,8 @@
 class TestVirtualTraces:
     """Traces over fakes, on a virtual clock."""
 
-    @pytest.mark.looptime(
-        noop_cycles=0
-    )  # the default of 42 idle cycles a step is eight times slower
+    # The default of 42 idle cycles a step is eight times slower.
+    @pytest.mark.looptime(noop_cycles=0)
     @pytest.mark.parametrize("name", VIRTUAL_TRACES)
     async def test_trace_ends_as_stated(self, name: str) -> None:
         """Guards the promise that the trace names against the faults that it brings about."""
