--- a/src/wigeonpoint/connection/_messages.py
+++ b/src/wigeonpoint/connection/_messages.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from typing import Any
 
 from wigeonpoint.backend import Exchange, LogPosition
 from wigeonpoint.connection._statement_sequence import StatementSequence
@@ -57,22 +56,6 @@
     message_id: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class ExecuteReply:
-    """The owner's answer to `ExecuteMessage`, `StatementMessage` and `CommitMessage`."""
-
-    rows: list[Any] = field(default_factory=list)
-    term: int = 0
-    position: int = 0
-    repeated: bool = False
-    refused: bool = False
-
-    @property
-    def at(self) -> LogPosition:
-        """Term and position that the rows reflect."""
-        return LogPosition(self.term, self.position)
-
-
 @dataclass(frozen=True, slots=True)
 class SamplePositionMessage:
     """Asks for the confirmed position of a primary."""
--- a/src/wigeonpoint/process/_commit_resolution.py
+++ b/src/wigeonpoint/process/_commit_resolution.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
+from wigeonpoint.backend import BackendAnswer
 from wigeonpoint.connection import (
-    ExecuteReply,
     PeerTransport,
     SettleMessage,
     TransactionId,
@@ -36,7 +36,7 @@
 
     async def resolve(
         self, transaction: TransactionId, pool: Pool, request_id: str, deadline: float
-    ) -> ExecuteReply:
+    ) -> BackendAnswer:
         """Gives the recorded answer of the commit.
 
         A record of the request id proves the commit. Without one the commit may still be in
@@ -77,7 +77,7 @@
         request_id: str,
         deadline: float,
         count: int,
-    ) -> ExecuteReply | None:
+    ) -> BackendAnswer | None:
         group = self._topology.group(transaction.group)
         remaining = min(deadline - asyncio.get_running_loop().time(), LOOKUP_TIMEOUT_S)
         primary_id = ""
@@ -97,7 +97,7 @@
             return await self._transport.request(
                 self._topology.owner_of(primary).address,
                 SettleMessage(work, request_id, transaction.number),
-                ExecuteReply,
+                BackendAnswer,
                 timeout=remaining,
             )
         except WigeonpointError:
--- a/src/wigeonpoint/process/_owner.py
+++ b/src/wigeonpoint/process/_owner.py
@@ -12,7 +12,6 @@
     BeginMessage,
     CancelReply,
     ExecuteMessage,
-    ExecuteReply,
     OpenTransaction,
     SettleMessage,
     Transactions,
@@ -95,7 +94,7 @@
         result = self._queue.cancel(message_id)
         return CancelReply(result.known, result.sent)
 
-    async def execute(self, message: ExecuteMessage) -> ExecuteReply:
+    async def execute(self, message: ExecuteMessage) -> BackendAnswer:
         """Runs a statement and has it confirmed where the message asks for it."""
         deadline = deadline_in(message.work.remaining_ms)
         async with self._admit(message.work, deadline, message.message_id) as entry:
@@ -111,7 +110,7 @@
                 ResultCode.MEMBER_BEHIND,
                 f"{self._server.id} is at {answer.at}, behind {message.required}",
             )
-        return ExecuteReply(answer.rows, answer.term, answer.position, answer.repeated)
+        return answer
 
     async def settle(self, message: SettleMessage) -> BackendAnswer:
         """Decides a transaction and has the decision confirmed."""
--- a/src/wigeonpoint/process/_owner_service.py
+++ b/src/wigeonpoint/process/_owner_service.py
@@ -8,7 +8,7 @@
 from contextlib import contextmanager
 from dataclasses import replace
 
-from wigeonpoint.backend import Backend
+from wigeonpoint.backend import Backend, BackendAnswer
 from wigeonpoint.connection import (
     Acknowledgement,
     BeginMessage,
@@ -17,7 +17,6 @@
     CancelReply,
     CommitMessage,
     ExecuteMessage,
-    ExecuteReply,
     PauseWritesMessage,
     PeerDispatcher,
     RollbackMessage,
@@ -99,7 +98,7 @@
         dispatcher.register(SettleMessage, self.settle)
         dispatcher.register(PauseWritesMessage, self._pause.pause)
 
-    async def execute(self, message: ExecuteMessage) -> ExecuteReply:
+    async def execute(self, message: ExecuteMessage) -> BackendAnswer:
         """Runs one statement."""
         owned = await self._owned_server(message.work)
         self._refuse_read_while_leaving(message)
@@ -129,7 +128,7 @@
             transaction = await owned.begin(message, self._transactions)
         return BeginReply(transaction.number, transaction.term)
 
-    async def execute_in_transaction(self, message: StatementMessage) -> ExecuteReply:
+    async def execute_in_transaction(self, message: StatementMessage) -> BackendAnswer:
         """Runs a statement of an open transaction; its rows are provisional until the commit."""
         transaction = self._transactions.find(message.number, message.session_id)
         owned = self._owned[transaction.server_id]
@@ -137,14 +136,13 @@
         async with owned.slot(transaction, deadline):
             # A statement that the queue refuses is not counted, so it may be sent again.
             await self._transactions.admit(transaction, message.sequence)
-            answer = await self._transactions.execute(
+            return await self._transactions.execute(
                 transaction,
                 message.exchange,
                 timeout=deadline - asyncio.get_running_loop().time(),
             )
-        return ExecuteReply(answer.rows, answer.term, answer.position)
 
-    async def commit(self, message: CommitMessage) -> ExecuteReply:
+    async def commit(self, message: CommitMessage) -> BackendAnswer:
         """Commits a transaction and has the commit confirmed."""
         transaction = self._transactions.find(message.number, message.session_id)
         owned = self._owned[transaction.server_id]
@@ -159,7 +157,7 @@
         row = self._pool_row(message.pool)
         durability = Durability.MAJORITY if row is None else row.durability
         await owned.confirm(answer.at, durability, deadline)
-        return ExecuteReply(answer.rows, answer.term, answer.position, answer.repeated)
+        return answer
 
     async def rollback(self, message: RollbackMessage) -> Acknowledgement:
         """Rolls a transaction back."""
@@ -167,14 +165,11 @@
         await self._transactions.rollback(transaction, timeout=message.remaining_ms / 1000)
         return Acknowledgement()
 
-    async def settle(self, message: SettleMessage) -> ExecuteReply:
+    async def settle(self, message: SettleMessage) -> BackendAnswer:
         """Decides whether a transaction whose commit has no answer took effect."""
         owned = await self._owned_server(message.work)
         with self._use(owned):
-            answer = await owned.settle(message)
-        return ExecuteReply(
-            answer.rows, answer.term, answer.position, answer.repeated, answer.refused
-        )
+            return await owned.settle(message)
 
     def close(self) -> None:
         """Rolls open transactions back and closes idle connections."""
--- a/src/wigeonpoint/process/_reads.py
+++ b/src/wigeonpoint/process/_reads.py
@@ -5,8 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from wigeonpoint.backend import LogPosition
-from wigeonpoint.connection import ExecuteReply
+from wigeonpoint.backend import BackendAnswer, LogPosition
 from wigeonpoint.errors import InvalidRequest, NotRun, OutcomeUnknown, ResultCode, WigeonpointError
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process._attempt import PRIMARY_GONE, RequestAttempt
@@ -33,7 +32,7 @@
     """
 
     server: BackendServer
-    reply: ExecuteReply
+    reply: BackendAnswer
     from_replica: bool = False
     age_s: float | None = None
 
@@ -160,7 +159,7 @@
             return None
         return MemberAnswer(server, reply, from_replica=True, age_s=age)
 
-    async def _read_replica(self, attempt: RequestAttempt, server: BackendServer) -> ExecuteReply:
+    async def _read_replica(self, attempt: RequestAttempt, server: BackendServer) -> BackendAnswer:
         loop = asyncio.get_running_loop()
         started = loop.time()
         try:
--- a/src/wigeonpoint/process/_transaction_router.py
+++ b/src/wigeonpoint/process/_transaction_router.py
@@ -7,13 +7,12 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from wigeonpoint.backend import Exchange
+from wigeonpoint.backend import BackendAnswer, Exchange
 from wigeonpoint.connection import (
     Acknowledgement,
     BeginMessage,
     BeginReply,
     CommitMessage,
-    ExecuteReply,
     PeerTransport,
     RollbackMessage,
     Session,
@@ -175,7 +174,7 @@
         )
         following = self._ids.encode(replace(transaction, answered=transaction.answered + 1))
         try:
-            reply = await self._send(transaction.address, message, ExecuteReply, deadline)
+            reply = await self._send(transaction.address, message, BackendAnswer, deadline)
         except InvalidRequest as error:
             # The server itself refused the statement, so the owner has counted it.
             if error.code not in _TRANSACTION_ENDED:
@@ -227,11 +226,11 @@
         deadline: float,
         *,
         given: bool,
-    ) -> ExecuteReply:
+    ) -> BackendAnswer:
         """Commits, and looks the recorded answer up when the owner's answer is lost."""
         try:
             return await self._transport.request(
-                transaction.address, message, ExecuteReply, timeout=message.remaining_ms / 1000
+                transaction.address, message, BackendAnswer, timeout=message.remaining_ms / 1000
             )
         except OutcomeUnknown:
             pass
--- a/src/wigeonpoint/process/_work_sender.py
+++ b/src/wigeonpoint/process/_work_sender.py
@@ -5,12 +5,11 @@
 import itertools
 import secrets
 
-from wigeonpoint.backend import Exchange
+from wigeonpoint.backend import BackendAnswer, Exchange
 from wigeonpoint.connection import (
     CancelMessage,
     CancelReply,
     ExecuteMessage,
-    ExecuteReply,
     PeerTransport,
     WorkDetails,
 )
@@ -48,7 +47,7 @@
 
     async def send(
         self, attempt: RequestAttempt, server: BackendServer, *, confirm: bool
-    ) -> ExecuteReply:
+    ) -> BackendAnswer:
         """Sends one attempt and waits for the owner's answer.
 
         Raises:
@@ -60,7 +59,7 @@
         address = self._topology.owner_of(server).address
         try:
             return await self._transport.request(
-                address, message, ExecuteReply, timeout=timeout + REPLY_GRACE_S
+                address, message, BackendAnswer, timeout=timeout + REPLY_GRACE_S
             )
         except OutcomeUnknown as error:
             if error.code == ResultCode.DEADLINE_EXCEEDED and await self._cancel(address, message):
