--- a/src/wigeonpoint/process/_deadlines.py
+++ b/src/wigeonpoint/process/_deadlines.py
@@ -6,6 +6,8 @@
 
 from wigeonpoint.errors import NotRun, ResultCode
 
+RETRY_AFTER_MS = 100
+
 
 def deadline_in(remaining_ms: float) -> float:
     """Deadline of a message that arrives now."""
@@ -20,5 +22,10 @@
     """
     remaining = deadline - asyncio.get_running_loop().time()
     if remaining <= 0:
-        raise NotRun(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed before sending")
+        raise deadline_passed("the deadline passed before sending")
     return remaining
+
+
+def deadline_passed(message: str) -> NotRun:
+    """The refusal of work that nothing was sent of before its deadline."""
+    return NotRun(ResultCode.DEADLINE_UNREACHABLE, message, retry_after_ms=RETRY_AFTER_MS)
--- a/src/wigeonpoint/process/_transaction_router.py
+++ b/src/wigeonpoint/process/_transaction_router.py
@@ -36,6 +36,7 @@
     budget_exhausted,
 )
 from wigeonpoint.process._commit_resolution import CommitResolution
+from wigeonpoint.process._deadlines import remaining_s
 from wigeonpoint.process._router import ConfigurationLookup
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.request import Access, Answer, Rank, RetryBudgets, Statement
@@ -106,7 +107,7 @@
                 route=route.name,
                 rank=rank,
                 caller=caller,
-                remaining_ms=_remaining(deadline) * 1000,
+                remaining_ms=remaining_s(deadline) * 1000,
                 accept_any=count >= ATTEMPTS_BEFORE_ACCEPT_ANY,
             )
             try:
@@ -169,7 +170,7 @@
             number=transaction.number,
             session_id=known.id,
             exchange=Exchange(statement, read_only=access is Access.READ),
-            remaining_ms=_remaining(deadline) * 1000,
+            remaining_ms=remaining_s(deadline) * 1000,
             sequence=_sequence(transaction, sequence),
         )
         following = self._ids.encode(replace(transaction, answered=transaction.answered + 1))
@@ -204,7 +205,7 @@
             transaction.number,
             known.id,
             request_id,
-            _remaining(deadline) * COMMIT_SHARE * 1000,
+            remaining_s(deadline) * COMMIT_SHARE * 1000,
             sequence=_sequence(transaction, sequence),
             pool=pool.name,
         )
@@ -249,7 +250,7 @@
     ) -> Answer:
         """Rolls a transaction back."""
         transaction, known = self._identify(transaction_id, session)
-        message = RollbackMessage(transaction.number, known.id, _remaining(deadline) * 1000)
+        message = RollbackMessage(transaction.number, known.id, remaining_s(deadline) * 1000)
         await self._send(transaction.address, message, Acknowledgement, deadline)
         return Answer(session=self._tokens.encode(known))
 
@@ -266,7 +267,7 @@
     ) -> ReplyT:
         try:
             return await self._transport.request(
-                address, message, reply_type, timeout=_remaining(deadline)
+                address, message, reply_type, timeout=remaining_s(deadline)
             )
         except OutcomeUnknown as error:
             if isinstance(message, BeginMessage):
@@ -301,10 +302,3 @@
     return NotRun(
         ResultCode.TRANSACTION_LOST, f"the transaction was rolled back; begin it again: {reason}"
     )
-
-
-def _remaining(deadline: float) -> float:
-    remaining = deadline - asyncio.get_running_loop().time()
-    if remaining <= 0:
-        raise NotRun(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed before sending")
-    return remaining
--- a/src/wigeonpoint/process/_work_sender.py
+++ b/src/wigeonpoint/process/_work_sender.py
@@ -13,8 +13,9 @@
     PeerTransport,
     WorkDetails,
 )
-from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, WigeonpointError
+from wigeonpoint.errors import OutcomeUnknown, ResultCode, WigeonpointError
 from wigeonpoint.process._attempt import RequestAttempt
+from wigeonpoint.process._deadlines import deadline_passed
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.request import Access
 from wigeonpoint.version import BackendServer
@@ -63,9 +64,8 @@
             )
         except OutcomeUnknown as error:
             if error.code == ResultCode.DEADLINE_EXCEEDED and await self._cancel(address, message):
-                raise NotRun(
-                    ResultCode.DEADLINE_UNREACHABLE,
-                    f"{server.id} did not get to the statement in time; it was removed",
+                raise deadline_passed(
+                    f"{server.id} did not get to the statement in time; it was removed"
                 ) from error
             raise
 
--- a/src/wigeonpoint/process/_write_pause.py
+++ b/src/wigeonpoint/process/_write_pause.py
@@ -6,6 +6,7 @@
 
 from wigeonpoint.connection import Acknowledgement, PauseWritesMessage
 from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.process._deadlines import deadline_passed
 from wigeonpoint.process._topology import Topology
 
 MAX_PAUSE_S = 2.0
@@ -46,7 +47,7 @@
         loop = asyncio.get_running_loop()
         while loop.time() < until:
             if loop.time() >= deadline:
-                raise NotRun(ResultCode.DEADLINE_UNREACHABLE, "the deadline passed in a handover")
+                raise deadline_passed("the deadline passed in a handover")
             primary = self._topology.group(group).primary
             if primary is not None and primary.id != server_id:
                 raise NotRun(ResultCode.NOT_PRIMARY, f"{server_id} was handed over")
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -147,6 +147,7 @@
         with pytest.raises(NotRun) as raised:
             await fleet.entries[1].write("ADD n 1", deadline=0)
         assert (raised.value.code, sent) == (ResultCode.DEADLINE_UNREACHABLE, [])
+        assert raised.value.retry_after_ms
 
     @pytest.mark.parametrize("removed", [True, False])
     async def test_only_a_confirmed_removal_counts(self, fleet: Fleet, removed: bool) -> None:
