--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -22,9 +22,15 @@
     INTERNAL_ERROR = (103, logging.ERROR, "unexpected error")
     DRAIN_FINISHED = (104, logging.INFO, "graceful shutdown has finished all work")
     STOPPED_AT_ONCE = (105, logging.WARNING, "second signal: stopping without finishing work")
+    SETTINGS_READ = (106, logging.INFO, "settings file read again")
+    SETTINGS_REFUSED = (107, logging.WARNING, "changed settings file is wrong and not used")
 
     MEMBER_DEAD = (300, logging.WARNING, "an instance was declared dead")
     DIRECTORY_UNAVAILABLE = (301, logging.WARNING, "the platform's list cannot be read")
+    PEER_LOST = (303, logging.WARNING, "a peer does not answer")
+    PEER_REGAINED = (304, logging.INFO, "a peer answers again")
+    EVIDENCE_LOST = (305, logging.WARNING, "primaries may not be used: no evidence of their lead")
+    EVIDENCE_REGAINED = (306, logging.INFO, "primaries may be used")
     DIRECTORY_AVAILABLE = (302, logging.INFO, "the platform's list can be read again")
 
     CONFIGURATION_APPLIED = (200, logging.INFO, "configuration state in force")
@@ -34,6 +40,8 @@
     CONFIGURATION_COPY_DAMAGED = (204, logging.WARNING, "configuration copy is damaged")
     EDIT_ACCEPTED = (205, logging.INFO, "edit accepted")
     EDIT_REFUSED = (206, logging.INFO, "edit refused")
+    TABLE_COPIED = (216, logging.INFO, "newer copy of a table taken over from a peer")
+    REGISTRATION_FAILED = (217, logging.WARNING, "the instance's registration was not written")
     TABLES_UNREACHABLE = (207, logging.WARNING, "table service unreachable")
     TABLES_REACHABLE = (208, logging.INFO, "table service reachable again")
 
@@ -49,12 +57,33 @@
     OPINION_DIFFERS = (409, logging.INFO, "another instance reaches the primary")
     PRIMARY_STALLED = (410, logging.WARNING, "primary is reachable but no majority follows it")
     HANDOVER_PUT_OFF = (411, logging.WARNING, "no replica caught up; handover put off")
+    LEADERSHIP_NOTED = (412, logging.INFO, "record of a group taken over")
+    REPLACEMENT_STARTED = (413, logging.INFO, "the primary of a group is to be replaced")
+    PROMOTION_CLAIMED = (414, logging.INFO, "change of primary claimed")
+    CLAIM_UNCONFIRMED = (415, logging.WARNING, "not all instances confirmed the claim")
+    PRIMARY_PROMOTED = (416, logging.INFO, "the new primary leads")
+    PRIMARY_DEMOTED = (417, logging.INFO, "the replaced primary was told to follow")
     RETRY_BUDGET_EMPTY = (600, logging.WARNING, "retry budget of the route is used up")
     POSITION_LOST = (601, logging.ERROR, "a session requires a position that no log contains")
     COMMIT_UNRESOLVED = (602, logging.WARNING, "the outcome of a commit could not be resolved")
 
     QUEUE_FULL = (500, logging.WARNING, "owner queue is full; refusing its heaviest caller")
     CONNECTION_REFUSED = (501, logging.WARNING, "backend server refused a connection; retrying")
+    MEMBER_UNREACHABLE = (502, logging.WARNING, "no connection to the member could be opened")
+    MEMBER_REACHABLE = (503, logging.INFO, "the member accepts connections again")
+    MEMBER_REFUSED = (504, logging.WARNING, "the member refused the connection")
+    STATEMENT_REFUSED = (603, logging.INFO, "statement refused")
+    STATEMENT_IN_DOUBT = (604, logging.WARNING, "the outcome of a statement is not known")
+    STATEMENT_RETRIED = (605, logging.INFO, "statement is tried again")
+    TRANSACTION_ABORTED = (606, logging.INFO, "transaction rolled back")
+    MESSAGE_REFUSED = (607, logging.INFO, "a caller's message cannot be read")
+
+    STORE_UNREACHABLE = (210, logging.WARNING, "the platform's store does not answer")
+    STORE_REACHABLE = (211, logging.INFO, "the platform's store answers again")
+    HISTORY_LOST = (212, logging.INFO, "the store dropped the history; reading the table anew")
+    CATALOGUE_APPLIED = (213, logging.INFO, "routes and services in force")
+    ROW_UNREADABLE = (214, logging.WARNING, "a row of the store cannot be read and is ignored")
+    MEMBERS_CHANGED = (215, logging.INFO, "members of a group changed")
 
     def __init__(self, number: int, level: int, sentence: str) -> None:
         self.number = number
--- a/src/wigeonpoint/cli/_main.py
+++ b/src/wigeonpoint/cli/_main.py
@@ -6,6 +6,7 @@
 
 from wigeonpoint import __version__
 from wigeonpoint.cli._check import check
+from wigeonpoint.cli._gateway import gateway
 from wigeonpoint.cli._load import load
 from wigeonpoint.cli._report import report
 from wigeonpoint.cli._rows import row_commands
@@ -24,6 +25,7 @@
 main.add_command(check)
 main.add_command(row_commands("route", "routes", "pool"))
 main.add_command(row_commands("pool", "pools", "group"))
+main.add_command(gateway)
 main.add_command(load)
 main.add_command(serve)
 main.add_command(status)
--- a/src/wigeonpoint/cli/_serve.py
+++ b/src/wigeonpoint/cli/_serve.py
@@ -11,8 +11,8 @@
 
 from wigeonpoint.backend import WebSocketBackend
 from wigeonpoint.cli._errors import numbered_errors
+from wigeonpoint.embedded import http_platform
 from wigeonpoint.events import Event, log_event
-from wigeonpoint.platform import http_platform
 from wigeonpoint.process import Instance, Settings, configure_logs, read_settings
 
 
--- /dev/null
+++ b/src/wigeonpoint/connection/session/__init__.py
@@ -0,0 +1,46 @@
+"""What lives for a connection of a caller or to a member: sessions, links and their protocols."""
+
+from __future__ import annotations
+
+from wigeonpoint.connection.session._latency import LatencyEstimate
+from wigeonpoint.connection.session._link import MemberLink
+from wigeonpoint.connection.session._member_health import MemberHealth
+from wigeonpoint.connection.session._protocols import (
+    CallerConnection,
+    CallerGone,
+    CallerMessage,
+    EndSession,
+    MemberAnswer,
+    MemberConnection,
+    MemberConnectionLost,
+    MemberConnector,
+    MemberFault,
+    MemberRefused,
+    MemberReport,
+    MemberUnreachable,
+    OpenSession,
+    WrongMessage,
+)
+from wigeonpoint.connection.session._session import CallerSession, SessionTransaction
+
+__all__ = [
+    "CallerConnection",
+    "CallerGone",
+    "CallerMessage",
+    "CallerSession",
+    "EndSession",
+    "LatencyEstimate",
+    "MemberAnswer",
+    "MemberConnection",
+    "MemberConnectionLost",
+    "MemberConnector",
+    "MemberFault",
+    "MemberHealth",
+    "MemberLink",
+    "MemberRefused",
+    "MemberReport",
+    "MemberUnreachable",
+    "OpenSession",
+    "SessionTransaction",
+    "WrongMessage",
+]
--- /dev/null
+++ b/src/wigeonpoint/connection/session/_link.py
@@ -0,0 +1,91 @@
+"""A pooled connection to a member, with the session settings that it holds."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from wigeonpoint.connection.session._protocols import MemberAnswer, MemberConnection, MemberFault
+from wigeonpoint.request.session import PreparedStatement, TransactionState
+from wigeonpoint.version.catalogue import MemberRecord
+
+
+class MemberLink:
+    """One connection to a member.
+
+    Prepared statements are named after what they run, so that sessions that prepared the same shape
+    under different names share one.
+
+    Args:
+        connection: The connection.
+        record: The member.
+    """
+
+    def __init__(self, connection: MemberConnection, record: MemberRecord) -> None:
+        self._connection = connection
+        self._record = record
+        self._values: dict[str, str] = {}
+        self._prepared: dict[PreparedStatement, str] = {}
+        self.last_session: int | None = None
+        self.idle_since = 0.0
+        self.state = TransactionState.IDLE
+
+    @property
+    def connection(self) -> MemberConnection:
+        """The connection."""
+        return self._connection
+
+    @property
+    def record(self) -> MemberRecord:
+        """The member."""
+        return self._record
+
+    @property
+    def closed(self) -> bool:
+        """Whether it can carry no further statement."""
+        return self._connection.closed
+
+    async def restore_values(self, values: Mapping[str, str]) -> MemberAnswer | None:
+        """Gives the connection the values of a session, sending only what differs.
+
+        Returns:
+            The member's answer if it refused, otherwise None.
+        """
+        if self._values.keys() - values.keys():
+            answer = await self._connection.reset()
+            if answer.fault is not None:
+                return answer
+            self._values.clear()
+            self._prepared.clear()
+        for name, value in values.items():
+            if self._values.get(name) == value:
+                continue
+            answer = await self._connection.set_value(name, value)
+            if answer.fault is not None:
+                return answer
+            self._values[name] = value
+        return None
+
+    async def prepare(self, prepared: PreparedStatement) -> str | MemberAnswer:
+        """Prepares a statement unless it is prepared already.
+
+        Returns:
+            The name to execute it by, or the member's answer if it refused.
+        """
+        name = self._prepared.get(prepared)
+        if name is not None:
+            return name
+        name = f"p{len(self._prepared) + 1}"
+        answer = await self._connection.prepare(name, prepared)
+        if answer.fault is not None:
+            return answer
+        self._prepared[prepared] = name
+        return name
+
+    def forget_prepared(self, answer: MemberAnswer) -> None:
+        """Drops what is known of prepared statements after the member did not know one."""
+        if answer.fault is MemberFault.UNKNOWN_STATEMENT:
+            self._prepared.clear()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._connection.close()
--- /dev/null
+++ b/src/wigeonpoint/connection/session/_member_health.py
@@ -0,0 +1,71 @@
+"""Whether a member is worth sending work to, judged by this instance's own traffic."""
+
+from __future__ import annotations
+
+import asyncio
+
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+SILENT_ANSWERS = 2  # one lost answer alone does not make a member suspect
+
+
+class MemberHealth:
+    """Suspicion of one member.
+
+    A connection that cannot be opened makes the member unavailable for a pause that doubles with
+    each failure; afterwards one attempt at a time is let through until one succeeds.
+    """
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._silent = 0
+        self._paused_until = 0.0
+        self._failed_since: float | None = None
+        self._answered_at: float | None = None
+
+    @property
+    def available(self) -> bool:
+        """Whether fresh work should go to the member."""
+        return self._failures == 0
+
+    @property
+    def may_try(self) -> bool:
+        """Whether an attempt to connect should be made now."""
+        return asyncio.get_running_loop().time() >= self._paused_until
+
+    @property
+    def suspicious(self) -> bool:
+        """Whether answers stay away, so that a new connection should be tried."""
+        return self._silent >= SILENT_ANSWERS
+
+    @property
+    def failed_for_s(self) -> float:
+        """Seconds since the member stopped answering, 0 while it answers."""
+        if self._failed_since is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._failed_since
+
+    @property
+    def answered_at(self) -> float | None:
+        """Event-loop time of the last answer or accepted connection."""
+        return self._answered_at
+
+    def note_answer(self) -> None:
+        """Records an answer or an accepted connection."""
+        self._answered_at = asyncio.get_running_loop().time()
+        self._failures = 0
+        self._silent = 0
+        self._paused_until = 0.0
+        self._failed_since = None
+
+    def note_silence(self) -> None:
+        """Records an answer that is unusually late."""
+        self._silent += 1
+
+    def note_unreachable(self) -> None:
+        """Records a connection that could not be opened."""
+        now = asyncio.get_running_loop().time()
+        if self._failed_since is None:
+            self._failed_since = now
+        self._paused_until = now + min(FIRST_PAUSE_S * 2**self._failures, LONGEST_PAUSE_S)
+        self._failures = min(self._failures + 1, 16)
--- /dev/null
+++ b/src/wigeonpoint/connection/session/_protocols.py
@@ -0,0 +1,269 @@
+"""Interfaces to callers and to members of database groups, met by an adapter."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import Protocol
+
+from wigeonpoint.backend import LogPosition, MemberRole
+from wigeonpoint.request.session import (
+    PreparedStatement,
+    Reply,
+    SessionStatement,
+    TransactionState,
+)
+from wigeonpoint.version.catalogue import MemberRecord
+
+
+class MemberFault(Enum):
+    """Why a member did not give a result."""
+
+    # It did not run the statement.
+    BUSY = auto()
+    BEHIND = auto()  # its log lacks the required position
+    NOT_PRIMARY = auto()
+    WRONG_MEMBER = auto()  # the address belongs to another member or service now
+    TOO_MANY_CONNECTIONS = auto()
+    UNKNOWN_STATEMENT = auto()
+
+    # It ran the statement.
+    FAILED = auto()
+    TIMED_OUT = auto()
+
+    MALFORMED = auto()
+    OTHER = auto()
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the member says that it did not run the statement."""
+        return self in _NOT_RUN
+
+
+_NOT_RUN = frozenset(
+    {
+        MemberFault.BUSY,
+        MemberFault.BEHIND,
+        MemberFault.NOT_PRIMARY,
+        MemberFault.WRONG_MEMBER,
+        MemberFault.TOO_MANY_CONNECTIONS,
+        MemberFault.UNKNOWN_STATEMENT,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class MemberAnswer:
+    """A complete answer of a member.
+
+    Attributes:
+        state: State of the connection after the answer.
+        position: Position of the member's applied log, None if it gave none.
+        rows: Result rows, unchanged.
+        proof: The member's proof, unchanged.
+        fault: Why there is no result, or None.
+        detail: Text that came with a fault.
+    """
+
+    state: TransactionState
+    position: LogPosition | None = None
+    rows: list[str] = field(default_factory=list)
+    proof: str | None = None
+    fault: MemberFault | None = None
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class MemberReport:
+    """What a member says of itself.
+
+    Attributes:
+        role: What it takes itself to be.
+        term: Term of its log.
+        received: End of the log that it has received.
+        held_term: Highest term that it obeys.
+        lag_s: How far it applies behind, in seconds.
+        busy: Slots in use.
+        connections: Connections from all instances together.
+    """
+
+    role: MemberRole
+    term: int
+    received: LogPosition | None
+    held_term: int
+    lag_s: float
+    busy: int
+    connections: int
+
+
+class MemberUnreachable(Exception):
+    """No connection to the member could be made; nothing was sent."""
+
+
+class MemberConnectionLost(Exception):
+    """The connection ended before the answer was complete; the statement may have run."""
+
+
+class MemberRefused(Exception):
+    """The member refused the connection.
+
+    Args:
+        fault: Why.
+    """
+
+    def __init__(self, fault: MemberFault) -> None:
+        super().__init__(f"member refused the connection: {fault.name.lower()}")
+        self.fault = fault
+
+
+class MemberConnection(Protocol):
+    """A connection to one member; it carries one statement at a time."""
+
+    @property
+    def closed(self) -> bool:
+        """Whether it can carry no further statement."""
+        ...
+
+    async def run(
+        self,
+        statement: SessionStatement,
+        *,
+        after: LogPosition | None = None,
+        prepared_name: str | None = None,
+    ) -> MemberAnswer:
+        """Runs a caller's statement with its id and text unchanged.
+
+        Args:
+            statement: The statement.
+            after: Position that the member's log must have applied; reads only.
+            prepared_name: Name to execute instead of the caller's name of a prepared statement.
+
+        Raises:
+            MemberConnectionLost: The answer is incomplete or missing.
+        """
+        ...
+
+    async def begin(self, *, read_only: bool, after: LogPosition | None = None) -> MemberAnswer:
+        """Begins a transaction."""
+        ...
+
+    async def rollback(self) -> MemberAnswer:
+        """Rolls the transaction back."""
+        ...
+
+    async def set_value(self, name: str, value: str) -> MemberAnswer:
+        """Sets a session value."""
+        ...
+
+    async def prepare(self, name: str, prepared: PreparedStatement) -> MemberAnswer:
+        """Prepares a statement."""
+        ...
+
+    async def reset(self) -> MemberAnswer:
+        """Clears session values and prepared statements."""
+        ...
+
+    async def report(self) -> MemberReport | None:
+        """Asks the member for its state; None if it is too busy to answer."""
+        ...
+
+    async def suspend(self, term: int) -> MemberReport | None:
+        """Stops a replica from receiving from primaries of lower terms."""
+        ...
+
+    async def demote(self, term: int) -> MemberReport | None:
+        """Makes a primary of a lower term a replica."""
+        ...
+
+    def close(self) -> None:
+        """Closes the connection; an open transaction is rolled back by the member."""
+        ...
+
+
+class MemberConnector(Protocol):
+    """Opens connections to members."""
+
+    async def connect(self, record: MemberRecord, *, timeout: float) -> MemberConnection:
+        """Opens a connection and names the member that is expected at the address.
+
+        Args:
+            record: The member.
+            timeout: Seconds to wait for the member to accept.
+
+        Raises:
+            MemberUnreachable: No connection could be made in time.
+            MemberRefused: The member refused.
+        """
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class OpenSession:
+    """A caller opens its session.
+
+    Attributes:
+        database: Database name.
+        user: Who connects.
+    """
+
+    database: str
+    user: str
+
+
+@dataclass(frozen=True, slots=True)
+class EndSession:
+    """A caller ends its session."""
+
+
+@dataclass(frozen=True, slots=True)
+class WrongMessage:
+    """A message that cannot be read.
+
+    Attributes:
+        problem: What is wrong with it.
+        too_large: Whether it exceeds the size limit.
+        fatal: Whether the rest of the stream cannot be read either.
+    """
+
+    problem: str
+    too_large: bool = False
+    fatal: bool = False
+
+
+CallerMessage = OpenSession | SessionStatement | EndSession | WrongMessage
+
+
+class CallerGone(Exception):
+    """The caller's connection has ended."""
+
+
+class CallerConnection(Protocol):
+    """The connection of one caller."""
+
+    async def receive(self) -> CallerMessage:
+        """Waits for the next message.
+
+        Raises:
+            CallerGone: The connection has ended.
+        """
+        ...
+
+    async def accept(self) -> None:
+        """Tells the caller that its session is open."""
+        ...
+
+    async def reply(self, reply: Reply, state: TransactionState) -> None:
+        """Answers a statement.
+
+        Raises:
+            CallerGone: The connection has ended.
+        """
+        ...
+
+    async def reject(self, reply: Reply) -> None:
+        """Answers with a refusal that ends the session."""
+        ...
+
+    def close(self) -> None:
+        """Closes the connection."""
+        ...
--- /dev/null
+++ b/src/wigeonpoint/connection/session/_session.py
@@ -0,0 +1,79 @@
+"""State of one caller's session."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+
+from wigeonpoint.backend import LogPosition
+from wigeonpoint.connection.session._link import MemberLink
+from wigeonpoint.request.session import PreparedStatement, TransactionState
+from wigeonpoint.version.catalogue import DatabaseRoute
+
+_NUMBERS = itertools.count(1)
+
+
+@dataclass(slots=True)
+class SessionTransaction:
+    """An open transaction of a session.
+
+    It has no connection until its first statement runs, so that a caller that pauses after the
+    beginning holds none.
+
+    Attributes:
+        route: The route at its beginning; a later change of the route does not concern it.
+        read_only: Whether it may only read.
+        link: The connection that it is bound to, or None before its first statement.
+        wrote: Whether one of its writes has run.
+    """
+
+    route: DatabaseRoute
+    read_only: bool
+    link: MemberLink | None = None
+    wrote: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class CallerSession:
+    """A session: it lives as long as its caller's connection.
+
+    Attributes:
+        database: Database name that the caller connected to.
+        number: Unique number within the process.
+        values: Session values by name.
+        prepared: Prepared statements by the caller's names.
+        state: Transaction state as the caller sees it.
+        transaction: The open transaction, or None.
+        committed: Position of the session's last commit by database group.
+        active_at: Event-loop time, in seconds, of the last answer.
+    """
+
+    database: str
+    number: int = field(default_factory=lambda: next(_NUMBERS))
+    values: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, PreparedStatement] = field(default_factory=dict)
+    state: TransactionState = TransactionState.IDLE
+    transaction: SessionTransaction | None = None
+    committed: dict[str, LogPosition] = field(default_factory=dict)
+    active_at: float = 0.0
+
+    @property
+    def idle(self) -> bool:
+        """Whether no transaction is open."""
+        return self.state is TransactionState.IDLE
+
+    def begin(self, route: DatabaseRoute, *, read_only: bool) -> None:
+        """Opens a transaction."""
+        self.transaction = SessionTransaction(route, read_only)
+        self.state = TransactionState.OPEN
+
+    def end(self) -> MemberLink | None:
+        """Ends the transaction.
+
+        Returns:
+            The connection that it was bound to.
+        """
+        link = self.transaction.link if self.transaction else None
+        self.transaction = None
+        self.state = TransactionState.IDLE
+        return link
--- a/src/wigeonpoint/platform/__init__.py
+++ b/src/wigeonpoint/platform/__init__.py
@@ -1,39 +1,8 @@
-"""The platform's services: protocols, data classes and the adapter over HTTP with JSON."""
+"""Adapter of the users' platform: names, formats and calls, and nothing that decides."""
 
 from __future__ import annotations
 
-from wigeonpoint.platform._http import http_platform
-from wigeonpoint.platform._protocol import (
-    Check,
-    ConditionalDirectory,
-    Delete,
-    Directory,
-    DirectoryRead,
-    Listing,
-    ListingKind,
-    ListingState,
-    ObjectStore,
-    Platform,
-    Put,
-    Row,
-    TableService,
-    TableTransaction,
-)
+from wigeonpoint.platform._platform import UserPlatform
+from wigeonpoint.platform._settings import DEFAULT_PATH, PATH_VARIABLE, read_platform_settings
 
-__all__ = [
-    "Check",
-    "ConditionalDirectory",
-    "Delete",
-    "Directory",
-    "DirectoryRead",
-    "Listing",
-    "ListingKind",
-    "ListingState",
-    "ObjectStore",
-    "Platform",
-    "Put",
-    "Row",
-    "TableService",
-    "TableTransaction",
-    "http_platform",
-]
+__all__ = ["DEFAULT_PATH", "PATH_VARIABLE", "UserPlatform", "read_platform_settings"]
--- a/src/wigeonpoint/platform/_http.py
+++ b/src/wigeonpoint/platform/_http.py
@@ -1,146 +1,143 @@
-"""Adapter for a platform whose services speak HTTP with JSON.
-
-Calls are rare (claims, edits, polling by a few instances), so tornado's own client, which opens a
-connection for each request, is enough.
-"""
+"""HTTP/1.1 client over kept connections, for the platform's store and its promotion call."""
 
 from __future__ import annotations
 
-from dataclasses import asdict
-from typing import Any
-from urllib.parse import quote
-
-import orjson
-from pydantic import TypeAdapter
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
-
-from wigeonpoint.errors import ConditionFailed, StoreUnavailable
-from wigeonpoint.platform._protocol import DirectoryRead, Listing, Platform, Row, TableTransaction
-
-DEFAULT_TIMEOUT_S = 2.0
-
-_ROW = TypeAdapter(Row)
-_ROWS = TypeAdapter(list[Row])
-_LISTINGS = TypeAdapter(list[Listing])
-_NAMES = TypeAdapter(list[str])
-
-
-class _HttpService:
-    """Sends requests to one platform endpoint and maps failures to `StoreUnavailable`."""
-
-    def __init__(self, address: str, *, timeout: float) -> None:
-        self._base = f"http://{address}"
-        self._timeout = timeout
-
-    async def call(self, method: str, path: str, body: bytes | None = None) -> bytes | None:
-        response = await self.fetch(method, path, body)
-        return None if response is None else response.body
-
-    async def fetch(
-        self,
-        method: str,
-        path: str,
-        body: bytes | None = None,
-        headers: dict[str, str] | None = None,
-    ) -> HTTPResponse | None:
-        """Gives the response, or None when there is nothing to read (status 304 or 404)."""
-        request = HTTPRequest(
-            self._base + path,
-            method=method,
-            body=body,
-            headers=headers,
-            request_timeout=self._timeout,
-            connect_timeout=self._timeout,
-        )
-        try:
-            return await AsyncHTTPClient().fetch(request)
-        except HTTPClientError as error:
-            if error.code in (304, 404):
-                return None
-            if error.code == 409:
-                raise ConditionFailed(_reason(error)) from error
-            raise StoreUnavailable(f"{method} {path} failed: {error}") from error
-        except OSError as error:
-            raise StoreUnavailable(f"{method} {path} failed: {error}") from error
-
-
-class HttpTableService:
-    """Table service over HTTP."""
+import asyncio
+from dataclasses import dataclass
 
-    def __init__(self, service: _HttpService) -> None:
-        self._service = service
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
+from tornado.iostream import IOStream, StreamClosedError
 
-    async def read(self, table: str, key: str) -> Row | None:
-        """Reads a row, or None when it is absent."""
-        data = await self._service.call("GET", f"/tables/{_part(table)}/{_part(key)}")
-        return None if data is None else _ROW.validate_json(data)
+from wigeonpoint.errors import StoreUnavailable
+from wigeonpoint.platform._sockets import connect_stream
 
-    async def scan(self, table: str) -> list[Row]:
-        """Reads all rows of a table in the order of their keys."""
-        return _ROWS.validate_json(
-            await self._service.call("GET", f"/tables/{_part(table)}") or b"[]"
-        )
+CONNECT_TIMEOUT_S = 1.0
+MAX_BODY_BYTES = 64 * 1024 * 1024
+KEPT_CONNECTIONS = 4
 
-    async def transact(self, transaction: TableTransaction) -> None:
-        """Applies a transaction; raises `ConditionFailed` when a check does not hold."""
-        await self._service.call("POST", "/transactions", orjson.dumps(asdict(transaction)))
 
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A complete response.
 
-class HttpObjectStore:
-    """Object store over HTTP."""
-
-    def __init__(self, service: _HttpService) -> None:
-        self._service = service
-
-    async def put(self, name: str, data: bytes) -> None:
-        """Writes an object."""
-        await self._service.call("PUT", f"/objects/{_part(name)}", data)
-
-    async def get(self, name: str) -> bytes | None:
-        """Reads an object, or None when it is absent."""
-        return await self._service.call("GET", f"/objects/{_part(name)}")
-
-    async def names(self, prefix: str) -> list[str]:
-        """Lists the names that begin with a prefix, in order."""
-        data = await self._service.call("GET", f"/objects?prefix={_part(prefix)}")
-        return _NAMES.validate_json(data or b"[]")
-
-
-class HttpDirectory:
-    """Directory over HTTP."""
-
-    def __init__(self, service: _HttpService) -> None:
-        self._service = service
-
-    async def list(self) -> list[Listing]:
-        """Reads the list."""
-        return _LISTINGS.validate_json(await self._service.call("GET", "/directory") or b"[]")
+    Attributes:
+        status: HTTP status.
+        body: The body.
+    """
 
-    async def list_since(self, version: str | None) -> DirectoryRead | None:
-        """Reads the list unless the platform still has the version (If-None-Match)."""
-        headers = {} if version is None else {"If-None-Match": version}
-        response = await self._service.fetch("GET", "/directory", headers=headers)
-        if response is None:
-            return None
-        etag = response.headers.get("Etag", "")
-        return DirectoryRead(etag, _LISTINGS.validate_json(response.body))
+    status: int
+    body: bytes
 
 
-def http_platform(address: str, *, timeout: float = DEFAULT_TIMEOUT_S) -> Platform:
-    """Builds the adapters for a platform at one address.
+class HttpClient:
+    """Sends requests to one address; each connection carries one request at a time.
 
     Args:
-        address: `host:port` of the platform.
-        timeout: Seconds after which a call raises `StoreUnavailable`.
+        address: `host:port`.
     """
-    service = _HttpService(address, timeout=timeout)
-    return Platform(HttpTableService(service), HttpObjectStore(service), HttpDirectory(service))
-
 
-def _part(text: str) -> str:
-    return quote(text, safe="")
+    def __init__(self, address: str) -> None:
+        self._address = address
+        self._idle: list[IOStream] = []
 
-
-def _reason(error: HTTPClientError) -> str:
-    body: Any = error.response.body if error.response is not None else b""
-    return body.decode(errors="replace") or "a check of the transaction does not hold"
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout: float,
+    ) -> HttpAnswer:
+        """Sends a request and waits for the response.
+
+        Args:
+            method: HTTP method.
+            path: Path with query.
+            body: Request body.
+            headers: Further headers.
+            timeout: Seconds until the response must be complete.
+
+        Raises:
+            StoreUnavailable: There is no complete response; the request may have been executed.
+        """
+        stream: IOStream | None = None
+        try:
+            async with asyncio.timeout(timeout):
+                stream = self._idle.pop() if self._idle else None
+                if stream is None or stream.closed():
+                    stream = await connect_stream(self._address, timeout=CONNECT_TIMEOUT_S)
+                answer = await _exchange(stream, self._address, method, path, body, headers or {})
+        except (OSError, StreamClosedError, TimeoutError) as error:
+            _close(stream)
+            reason = str(error) or "no answer in time"
+            raise StoreUnavailable(f"{method} {self._address}{path}: {reason}") from error
+        except asyncio.CancelledError:
+            _close(stream)  # an answer that is still on its way must not reach another request
+            raise
+        if not stream.closed() and len(self._idle) < KEPT_CONNECTIONS:
+            self._idle.append(stream)
+        else:
+            stream.close()
+        return answer
+
+    def close(self) -> None:
+        """Closes the kept connections."""
+        for stream in self._idle:
+            stream.close()
+        self._idle.clear()
+
+
+class _Response(HTTPMessageDelegate):
+    """Collects a response."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self._chunks: list[bytes] = []
+        self.complete = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        if isinstance(start_line, ResponseStartLine):
+            self.status = start_line.code
+
+    def data_received(self, chunk: bytes) -> None:
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        self.complete = True
+
+    @property
+    def body(self) -> bytes:
+        return b"".join(self._chunks)
+
+
+async def _exchange(
+    stream: IOStream,
+    address: str,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: dict[str, str],
+) -> HttpAnswer:
+    parameters = HTTP1ConnectionParameters(max_body_size=MAX_BODY_BYTES)
+    connection = HTTP1Connection(stream, True, parameters)
+    fields = HTTPHeaders({"Host": address, **headers})
+    if body or method in ("POST", "PUT"):
+        fields["Content-Type"] = fields.get("Content-Type", "application/json")
+        fields["Content-Length"] = str(len(body))
+    response = _Response()
+    await connection.write_headers(RequestStartLine(method, path, "HTTP/1.1"), fields, body)
+    connection.finish()
+    await connection.read_response(response)
+    if not response.complete:
+        raise StreamClosedError()
+    connection.detach()
+    return HttpAnswer(response.status, response.body)
+
+
+def _close(stream: IOStream | None) -> None:
+    if stream is not None:
+        stream.close()
--- /dev/null
+++ b/src/wigeonpoint/platform/_lines.py
@@ -0,0 +1,204 @@
+"""Line protocol of callers and members: words, fields, and their decoded types."""
+
+from __future__ import annotations
+
+from wigeonpoint.backend import LogPosition, MemberRole
+from wigeonpoint.connection.session import (
+    CallerMessage,
+    EndSession,
+    MemberFault,
+    MemberReport,
+    OpenSession,
+    WrongMessage,
+)
+from wigeonpoint.request import Access
+from wigeonpoint.request.session import (
+    PreparedStatement,
+    Refusal,
+    Reply,
+    SessionStatement,
+    TransactionState,
+    Verb,
+)
+
+END_OF_LINE = b"\r\n"
+MAX_LINE_BYTES = 1 << 20
+NO_VALUE = "-"
+# Any bytes survive decoding and encoding with this, so that texts and rows stay unchanged.
+TEXT_ENCODING = "latin-1"
+
+_STATES = {
+    "I": TransactionState.IDLE,
+    "T": TransactionState.OPEN,
+    "E": TransactionState.FAILED,
+}
+_STATE_LETTERS = {state: letter for letter, state in _STATES.items()}
+_FAULTS = {
+    "BUSY": MemberFault.BUSY,
+    "LAGGING": MemberFault.BEHIND,
+    "READONLY": MemberFault.NOT_PRIMARY,
+    "WRONGNODE": MemberFault.WRONG_MEMBER,
+    "OVERLOAD": MemberFault.TOO_MANY_CONNECTIONS,
+    "NOSTMT": MemberFault.UNKNOWN_STATEMENT,
+    "FAILED": MemberFault.FAILED,
+    "TIMEOUT": MemberFault.TIMED_OUT,
+    "MALFORMED": MemberFault.MALFORMED,
+}
+_REFUSAL_CODES = {
+    Refusal.OVERLOADED: "BUSY",
+    Refusal.UNAVAILABLE: "BUSY",
+    Refusal.ABORTED: "ABORTED",
+    Refusal.IN_DOUBT: "INDOUBT",
+    Refusal.TIMED_OUT: "TIMEOUT",
+    Refusal.FAILED: "FAILED",
+    Refusal.MALFORMED: "MALFORMED",
+    Refusal.UNKNOWN_STATEMENT: "NOSTMT",
+    Refusal.UNKNOWN_DATABASE: "NODB",
+    Refusal.TOO_LARGE: "TOOBIG",
+}
+_ACCESS = {"READ": Access.READ, "WRITE": Access.WRITE}
+_ACCESS_WORDS = {access: word for word, access in _ACCESS.items()}
+
+
+def encode_line(*fields: str) -> bytes:
+    """Encodes a message."""
+    return " ".join(fields).encode(TEXT_ENCODING) + END_OF_LINE
+
+
+def decode_line(line: bytes) -> str:
+    """Decodes a message without its end of line."""
+    return line.removesuffix(END_OF_LINE).decode(TEXT_ENCODING)
+
+
+def parse_caller_message(line: str) -> CallerMessage:
+    """Decodes a message of a caller."""
+    word, _, rest = line.partition(" ")
+    match word:
+        case "CONNECT":
+            database, _, user = rest.partition(" ")
+            return OpenSession(database, user) if database else WrongMessage("no database named")
+        case "QUERY":
+            statement_id, _, text = rest.partition(" ")
+            if not statement_id or not text:
+                return WrongMessage("a query needs an id and a text")
+            return parse_statement(statement_id, text)
+        case "RELEASE":
+            return EndSession()
+    return WrongMessage(f"unknown message {word[:20]!r}")
+
+
+def parse_statement(statement_id: str, text: str) -> SessionStatement:
+    """Decodes a statement text; one that cannot be read has the verb `UNKNOWN`."""
+    word, _, rest = text.partition(" ")
+    match word:
+        case "BEGIN" if rest in ("", "READ"):
+            verb = Verb.BEGIN_READ if rest else Verb.BEGIN
+            return SessionStatement(statement_id, text, verb)
+        case "COMMIT" | "ROLLBACK" if not rest:
+            return SessionStatement(statement_id, text, Verb[word])
+        case "READ" | "WRITE" | "EXECUTE" | "SET" if rest:
+            name, _, argument = rest.partition(" ")
+            return SessionStatement(statement_id, text, Verb[word], name, argument)
+        case "DEALLOC" if rest:
+            return SessionStatement(statement_id, text, Verb.DEALLOCATE, rest)
+        case "PREPARE":
+            return _parse_prepare(statement_id, text, rest)
+    return SessionStatement(statement_id, text, Verb.UNKNOWN)
+
+
+def _parse_prepare(statement_id: str, text: str, rest: str) -> SessionStatement:
+    name, _, definition = rest.partition(" ")
+    word, _, shape = definition.partition(" ")
+    access = _ACCESS.get(word)
+    if not name or access is None or not shape:
+        return SessionStatement(statement_id, text, Verb.UNKNOWN)
+    prepared = PreparedStatement(access, shape)
+    return SessionStatement(statement_id, text, Verb.PREPARE, name, prepared=prepared)
+
+
+def encode_ready(state: TransactionState) -> bytes:
+    """The message that ends every answer to a caller."""
+    return encode_line("READY", _STATE_LETTERS[state], NO_VALUE)
+
+
+def encode_reply(reply: Reply) -> bytes:
+    """Encodes a reply, without the message that ends the answer."""
+    if reply.refusal is not None:
+        return encode_line("ERROR", _REFUSAL_CODES[reply.refusal], _refusal_text(reply))
+    rows = b"".join(encode_line("ROW", row) for row in reply.rows)
+    return rows + encode_line("COMPLETE", reply.proof or NO_VALUE)
+
+
+def _refusal_text(reply: Reply) -> str:
+    text = " ".join(reply.message.split()) or reply.refusal.name.lower() if reply.refusal else ""
+    if reply.retry_after_ms is None:
+        return text
+    return f"{text}; retry after {reply.retry_after_ms} ms"
+
+
+def parse_position(text: str) -> LogPosition | None:
+    """Decodes `TERM.NUMBER`, or `-` for none."""
+    term, dot, number = text.partition(".")
+    if not dot or not term.isdigit() or not number.isdigit():
+        return None
+    return LogPosition(int(term), int(number))
+
+
+def format_position(position: LogPosition) -> str:
+    """Encodes a position."""
+    return f"{position.term}.{position.position}"
+
+
+def parse_ready(rest: str) -> tuple[TransactionState, LogPosition | None]:
+    """Decodes the fields of the message that ends every answer.
+
+    Raises:
+        ValueError: The state is unknown.
+    """
+    letter, _, position = rest.partition(" ")
+    state = _STATES.get(letter)
+    if state is None:
+        raise ValueError(f"unknown state {letter!r}")
+    return state, parse_position(position)
+
+
+def parse_fault(rest: str) -> tuple[MemberFault, str]:
+    """Decodes the fields of an error message of a member."""
+    code, _, detail = rest.partition(" ")
+    return _FAULTS.get(code, MemberFault.OTHER), detail or code
+
+
+def parse_report(row: str) -> MemberReport | None:
+    """Decodes the row that a member gives of itself, None if it cannot be read."""
+    fields = row.split(" ")
+    if len(fields) < 7 or fields[0] not in ("primary", "replica"):
+        return None
+    role, term, received, held, lag_ms, busy, connections = fields[:7]
+    if not (term.isdigit() and held.isdigit() and busy.isdigit() and connections.isdigit()):
+        return None
+    return MemberReport(
+        role=MemberRole(role),
+        term=int(term),
+        received=parse_position(received),
+        held_term=int(held),
+        lag_s=_milliseconds(lag_ms) / 1000,
+        busy=int(busy),
+        connections=int(connections),
+    )
+
+
+def _milliseconds(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        return 0.0
+
+
+def prepare_text(name: str, prepared: PreparedStatement) -> str:
+    """Text that prepares a statement."""
+    return f"PREPARE {name} {_ACCESS_WORDS[prepared.access]} {prepared.shape}"
+
+
+def execute_text(statement: SessionStatement, name: str) -> str:
+    """Text that executes a statement under another name than the caller's."""
+    return f"EXECUTE {name} {statement.argument}"
--- /dev/null
+++ b/src/wigeonpoint/platform/_platform.py
@@ -0,0 +1,113 @@
+"""The users' platform as a gateway sees it."""
+
+from __future__ import annotations
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from wigeonpoint.platform._callers import LineListener
+from wigeonpoint.platform._http import HttpClient
+from wigeonpoint.platform._members import LineMemberConnector
+from wigeonpoint.platform._promotion import PlatformPromoter
+from wigeonpoint.platform._sockets import split_address
+from wigeonpoint.platform._store import PlatformRowStore
+from wigeonpoint.platform._tables import (
+    CATALOGUE_KEY,
+    MEMBER_TABLE,
+    OPERATOR_TABLE,
+    decode_catalogue,
+    decode_member,
+)
+from wigeonpoint.process.gateway import (
+    GatewaySettings,
+    IsReady,
+    Listener,
+    ServeCaller,
+    TableNames,
+)
+from wigeonpoint.services import Promoter, RowStore, VersionedRow
+from wigeonpoint.version.catalogue import Catalogue, MemberRecord
+
+READINESS_PATH = "/readiness"
+
+
+class UserPlatform:
+    """Services, formats and listeners of the platform.
+
+    Args:
+        settings: Settings of the process.
+    """
+
+    def __init__(self, settings: GatewaySettings) -> None:
+        self._store_client = HttpClient(settings.store_address)
+        self._promotion_client = (
+            HttpClient(settings.promotion_address) if settings.promotion_address else None
+        )
+        self._store = PlatformRowStore(self._store_client)
+        self._connector = LineMemberConnector()
+
+    @property
+    def tables(self) -> TableNames:
+        """Names of the tables."""
+        return TableNames(OPERATOR_TABLE, CATALOGUE_KEY, MEMBER_TABLE)
+
+    @property
+    def store(self) -> RowStore:
+        """The store."""
+        return self._store
+
+    @property
+    def connector(self) -> LineMemberConnector:
+        """Connections to members."""
+        return self._connector
+
+    @property
+    def promoter(self) -> Promoter | None:
+        """The promotion call."""
+        client = self._promotion_client
+        return PlatformPromoter(client) if client is not None else None
+
+    def decode_catalogue(self, row: VersionedRow) -> Catalogue | None:
+        """Routes and services."""
+        return decode_catalogue(row)
+
+    def decode_member(self, row: VersionedRow) -> MemberRecord | None:
+        """A member."""
+        return decode_member(row)
+
+    def listen_for_callers(self, address: str, serve: ServeCaller) -> Listener:
+        """Accepts callers."""
+        listener = LineListener(serve)
+        host, port = split_address(address)
+        listener.listen(port, host)
+        return listener
+
+    def listen_for_readiness(self, address: str, ready: IsReady) -> Listener:
+        """Answers the balancer."""
+        application = Application(
+            [(READINESS_PATH, _ReadinessHandler, {"ready": ready})],
+            log_function=lambda handler: None,
+        )
+        server = HTTPServer(application)
+        host, port = split_address(address)
+        server.listen(port, host)
+        return server
+
+    def close(self) -> None:
+        """Closes kept connections."""
+        self._store_client.close()
+        if self._promotion_client is not None:
+            self._promotion_client.close()
+
+
+class _ReadinessHandler(RequestHandler):
+    """`GET /readiness`."""
+
+    def initialize(self, ready: IsReady) -> None:
+        """Takes the question."""
+        self._ready = ready
+
+    def get(self) -> None:
+        """Answers 200 when callers may be sent here, otherwise 503."""
+        self.set_status(200 if self._ready() else 503)
+        self.finish()
--- /dev/null
+++ b/src/wigeonpoint/platform/_settings.py
@@ -0,0 +1,105 @@
+"""Settings file of the platform, decoded into the product's settings."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from wigeonpoint.errors import ResultCode, SettingsError
+from wigeonpoint.platform._sockets import split_address
+from wigeonpoint.process.gateway import GatewaySettings
+
+PATH_VARIABLE = "WIGEONPOINT_CONFIG"
+DEFAULT_PATH = Path("/etc/wigeonpoint/settings.toml")
+DEFAULT_GRACE_S = 6.0
+DEFAULT_LEAVING_MS = 7000.0
+
+
+class _WireModel(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+
+
+class _WireAddresses(_WireModel):
+    front: str  # callers connect here
+    ready: str  # the balancer asks here
+    control: str  # other instances connect here
+
+
+class _WireEndpoint(_WireModel):
+    address: str
+
+
+class _WireBounds(_WireModel):
+    graceS: float = DEFAULT_GRACE_S  # noqa: N815
+    drainMs: float = DEFAULT_LEAVING_MS  # noqa: N815
+
+
+class _WireSettings(_WireModel):
+    nodeName: str = Field(min_length=1)  # noqa: N815
+    zone: str = Field(min_length=1)
+    seeds: list[str] = Field(default_factory=list)  # control addresses of some instances
+    bindAddrs: _WireAddresses  # noqa: N815
+    platform: _WireEndpoint  # the store
+    cloudApi: _WireEndpoint | None = None  # noqa: N815  the promotion call
+    contractParams: _WireBounds = Field(default_factory=_WireBounds)  # noqa: N815
+
+
+def read_platform_settings(path: Path) -> GatewaySettings:
+    """Reads and checks the platform's settings file; unknown fields are ignored.
+
+    Args:
+        path: TOML file.
+
+    Raises:
+        SettingsError: SETTINGS_UNREADABLE, or SETTINGS_INVALID with the name of each wrong field.
+    """
+    try:
+        fields = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            ResultCode.SETTINGS_UNREADABLE, f"cannot read settings {path}: {error}"
+        ) from error
+    except tomllib.TOMLDecodeError as error:
+        raise _invalid(path, f"not TOML: {error}") from error
+    try:
+        return _decode(_WireSettings.model_validate(fields))
+    except ValidationError as error:
+        problems = "; ".join(
+            f"{'.'.join(map(str, detail['loc']))}: {detail['msg']}" for detail in error.errors()
+        )
+        raise _invalid(path, problems) from error
+    except ValueError as error:
+        raise _invalid(path, str(error)) from error
+
+
+def _decode(wire: _WireSettings) -> GatewaySettings:
+    addresses = {
+        "bindAddrs.front": wire.bindAddrs.front,
+        "bindAddrs.ready": wire.bindAddrs.ready,
+        "bindAddrs.control": wire.bindAddrs.control,
+        "platform.address": wire.platform.address,
+        **({"cloudApi.address": wire.cloudApi.address} if wire.cloudApi else {}),
+    }
+    for field, address in addresses.items():
+        try:
+            split_address(address)
+        except ValueError as error:
+            raise ValueError(f"{field}: {error}") from error
+    return GatewaySettings(
+        instance_id=wire.nodeName,
+        data_centre=wire.zone,
+        caller_address=wire.bindAddrs.front,
+        readiness_address=wire.bindAddrs.ready,
+        peer_address=wire.bindAddrs.control,
+        seeds=tuple(wire.seeds),
+        store_address=wire.platform.address,
+        promotion_address=wire.cloudApi.address if wire.cloudApi else None,
+        grace_s=wire.contractParams.graceS,
+        leaving_s=wire.contractParams.drainMs / 1000,
+    )
+
+
+def _invalid(path: Path, problems: str) -> SettingsError:
+    return SettingsError(ResultCode.SETTINGS_INVALID, f"settings {path}: {problems}")
--- a/src/wigeonpoint/process/_admin_api.py
+++ b/src/wigeonpoint/process/_admin_api.py
@@ -18,7 +18,6 @@
     ResultCode,
     WigeonpointError,
 )
-from wigeonpoint.platform import Row
 from wigeonpoint.process._admin_models import (
     CheckBody,
     DeleteRowBody,
@@ -28,6 +27,7 @@
 from wigeonpoint.process._caller_api import JsonHandler
 from wigeonpoint.process._core import InstanceCore
 from wigeonpoint.request import parse_body
+from wigeonpoint.services import Row
 from wigeonpoint.version import (
     Edit,
     EditConflict,
--- a/src/wigeonpoint/process/_configuration_feed.py
+++ b/src/wigeonpoint/process/_configuration_feed.py
@@ -23,12 +23,12 @@
 )
 from wigeonpoint.errors import ConfigurationRefused, WigeonpointError
 from wigeonpoint.events import Event, log_event
-from wigeonpoint.platform import Platform
 from wigeonpoint.process._configuration_history import ConfigurationHistory
 from wigeonpoint.process._configuration_poller import ConfigurationPoller
 from wigeonpoint.process._configuration_spread import ConfigurationPeers
 from wigeonpoint.process._configuration_start import ConfigurationStart
 from wigeonpoint.process._topology import Topology
+from wigeonpoint.services import Platform
 from wigeonpoint.version import (
     Configuration,
     ConfigurationState,
--- a/src/wigeonpoint/process/_configuration_start.py
+++ b/src/wigeonpoint/process/_configuration_start.py
@@ -7,8 +7,8 @@
 from collections.abc import Awaitable, Callable
 
 from wigeonpoint.errors import WigeonpointError
-from wigeonpoint.platform import Directory, Listing, ListingKind
 from wigeonpoint.process._configuration_spread import ConfigurationPeers
+from wigeonpoint.services import Directory, Listing, ListingKind
 from wigeonpoint.version import ConfigurationState, ConfigurationStore
 
 SOURCE_TIMEOUT_S = 4.0  # a source that takes longer counts as unreachable
--- a/src/wigeonpoint/process/_core.py
+++ b/src/wigeonpoint/process/_core.py
@@ -14,7 +14,6 @@
     TransactionIds,
 )
 from wigeonpoint.events import Event, log_event
-from wigeonpoint.platform import Listing, ListingKind, ListingState, Platform
 from wigeonpoint.process._burn_service import BurnService
 from wigeonpoint.process._configuration_feed import ConfigurationFeed
 from wigeonpoint.process._detection import (
@@ -37,6 +36,7 @@
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.process._transaction_router import TransactionRouter
 from wigeonpoint.process._watcher import PrimaryAnnouncer, Watcher
+from wigeonpoint.services import Listing, ListingKind, ListingState, Platform
 from wigeonpoint.version import Configuration, GroupRecords, InstanceRecord, Membership, Pool
 
 
--- a/src/wigeonpoint/process/_directory_feed.py
+++ b/src/wigeonpoint/process/_directory_feed.py
@@ -11,9 +11,9 @@
 from wigeonpoint.connection import PeerDispatcher, PeerTransport
 from wigeonpoint.errors import PlatformError, WigeonpointError
 from wigeonpoint.events import Event, log_event
-from wigeonpoint.platform import ConditionalDirectory, Directory, Listing
 from wigeonpoint.process._pollers import list_pollers
 from wigeonpoint.process._swim_messages import ListVersion
+from wigeonpoint.services import ConditionalDirectory, Directory, Listing
 from wigeonpoint.version import InstanceRecord
 
 POLL_S = 0.5
--- a/src/wigeonpoint/process/_instance.py
+++ b/src/wigeonpoint/process/_instance.py
@@ -17,7 +17,6 @@
 from wigeonpoint.channel import ChannelHandler
 from wigeonpoint.connection import PEER_KEY_HEADER, PeerChannels, PeerDispatcher
 from wigeonpoint.events import Event, log_event
-from wigeonpoint.platform import Platform
 from wigeonpoint.process._admin_api import admin_handlers
 from wigeonpoint.process._burn_api import BurnHandler
 from wigeonpoint.process._caller_api import (
@@ -30,6 +29,7 @@
 from wigeonpoint.process._core import InstanceCore
 from wigeonpoint.process._metrics import InstanceMetrics, MetricsHandler
 from wigeonpoint.process._settings import Settings
+from wigeonpoint.services import Platform
 from wigeonpoint.version import InstanceRecord
 
 CALLER_PREFIX = "/v1/"
--- a/src/wigeonpoint/process/_topology.py
+++ b/src/wigeonpoint/process/_topology.py
@@ -6,8 +6,8 @@
 
 from wigeonpoint.backend import Backend
 from wigeonpoint.errors import NotRun, ResultCode
-from wigeonpoint.platform import Listing, ListingKind, ListingState
 from wigeonpoint.process._owner_pool import OwnerPool
+from wigeonpoint.services import Listing, ListingKind, ListingState
 from wigeonpoint.version import BackendServer, GroupView, InstanceRecord
 
 
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/__init__.py
@@ -0,0 +1,23 @@
+"""What lives for a gateway process: sessions of callers in front of database groups."""
+
+from __future__ import annotations
+
+from wigeonpoint.process.gateway._gateway import Gateway
+from wigeonpoint.process.gateway._platform import (
+    GatewayPlatform,
+    IsReady,
+    Listener,
+    ServeCaller,
+    TableNames,
+)
+from wigeonpoint.process.gateway._settings import GatewaySettings
+
+__all__ = [
+    "Gateway",
+    "GatewayPlatform",
+    "GatewaySettings",
+    "IsReady",
+    "Listener",
+    "ServeCaller",
+    "TableNames",
+]
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_exchange.py
@@ -0,0 +1,105 @@
+"""Runs one statement on one link: restores the session there, sends, and records the answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+from wigeonpoint.backend import LogPosition
+from wigeonpoint.connection.session import CallerSession, MemberAnswer, MemberLink
+from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.process.gateway._member_pool import MemberPool
+from wigeonpoint.request.session import SessionStatement, TransactionState, Verb
+
+
+class NotSent(Exception):
+    """The link refused what the statement needs first; the statement itself was not sent.
+
+    Args:
+        answer: The member's answer.
+    """
+
+    def __init__(self, answer: MemberAnswer) -> None:
+        super().__init__(answer.detail)
+        self.answer = answer
+
+
+class Exchange:
+    """One statement on one link.
+
+    Attributes:
+        sent: Whether the statement may have reached the member.
+    """
+
+    def __init__(
+        self,
+        group: Group,
+        pool: MemberPool,
+        link: MemberLink,
+        session: CallerSession,
+        statement: SessionStatement,
+    ) -> None:
+        self._group = group
+        self._pool = pool
+        self._link = link
+        self._session = session
+        self._statement = statement
+        self.sent = False
+
+    @property
+    def link(self) -> MemberLink:
+        """The link."""
+        return self._link
+
+    @property
+    def pool(self) -> MemberPool:
+        """Pool of the link."""
+        return self._pool
+
+    async def begin(self, *, read_only: bool, after: LogPosition | None) -> MemberAnswer:
+        """Begins the session's transaction on the link.
+
+        Raises:
+            MemberConnectionLost: The connection was lost; nothing of the transaction is kept.
+        """
+        answer = await self._link.connection.begin(read_only=read_only, after=after)
+        self._link.state = answer.state
+        return answer
+
+    async def run(self, *, after: LogPosition | None = None) -> MemberAnswer:
+        """Runs the statement.
+
+        Args:
+            after: Position that the member must have applied; for a read outside a transaction.
+
+        Raises:
+            NotSent: The link refused to restore the session.
+            MemberConnectionLost: The connection was lost; `sent` says whether the statement was.
+        """
+        name = await self._restore()
+        begun_at = asyncio.get_running_loop().time()
+        self.sent = True
+        answer = await self._link.connection.run(self._statement, after=after, prepared_name=name)
+        self._record(answer, begun_at)
+        return answer
+
+    async def _restore(self) -> str | None:
+        link, session = self._link, self._session
+        link.last_session = session.number
+        refused = await link.restore_values(session.values)
+        if refused is not None:
+            raise NotSent(refused)
+        if self._statement.verb is not Verb.EXECUTE:
+            return None
+        prepared = await link.prepare(session.prepared[self._statement.name])
+        if isinstance(prepared, MemberAnswer):
+            raise NotSent(prepared)
+        return prepared
+
+    def _record(self, answer: MemberAnswer, begun_at: float) -> None:
+        now = asyncio.get_running_loop().time()
+        self._link.state = answer.state
+        self._link.forget_prepared(answer)
+        self._pool.health.note_answer()
+        self._pool.latency.record(now - begun_at)
+        if self._link.state is not TransactionState.FAILED:
+            self._group.note_answer(self._pool.record.id, answer.position, begun_at=begun_at)
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -0,0 +1,184 @@
+"""A gateway process: sessions of callers in front of the members of all groups."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from wigeonpoint.connection import PeerChannels, PeerDispatcher
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._executor import StatementExecutor
+from wigeonpoint.process.gateway._platform import GatewayPlatform, Listener
+from wigeonpoint.process.gateway._session_service import SessionService
+from wigeonpoint.process.gateway._settings import GatewaySettings
+from wigeonpoint.process.gateway._shutdown import GatewayShutdown
+from wigeonpoint.process.gateway._transactions import TransactionRunner
+from wigeonpoint.process.gateway._view import PlatformView
+from wigeonpoint.process.gateway.control import (
+    CONTROL_TABLE,
+    Announcements,
+    Clock,
+    ControlState,
+    Failover,
+    GatewayPeers,
+    GatewayState,
+    MemberControl,
+    evidence_age_s,
+    listen_for_peers,
+)
+from wigeonpoint.version.catalogue import RegisteredInstance
+
+UPKEEP_S = 0.25
+# Peers reach each other only on the platform's own network, so there is no secret to present.
+NO_PEER_KEY = ""
+
+
+def elapsed_s() -> float:
+    """Seconds since the machine's start, counted also while it is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Gateway:
+    """Wires the parts of a gateway together.
+
+    Args:
+        settings: Settings of the process.
+        platform: The platform's services.
+        clock: Seconds for the age of evidence.
+    """
+
+    def __init__(
+        self, settings: GatewaySettings, platform: GatewayPlatform, *, clock: Clock = elapsed_s
+    ) -> None:
+        self._settings = settings
+        self._platform = platform
+        self._draining = False
+        self._listeners: list[Listener] = []
+        self._upkeep: asyncio.Task[None] | None = None
+        self._dispatcher = PeerDispatcher()
+        self._transport = PeerChannels(settings.peer_address, self._dispatcher, NO_PEER_KEY)
+        self.view = PlatformView(platform, settings.data_centre)
+        self.control = ControlState(
+            settings.instance_id,
+            RegisteredInstance(settings.peer_address, settings.data_centre),
+            store=platform.store,
+            group=self.view.group,
+            clock=clock,
+        )
+        self.executor = StatementExecutor(self.control)
+        self.transactions = TransactionRunner(self.executor)
+        self.sessions = SessionService(
+            self.view.catalogue, self.view.group, self.executor, self.transactions
+        )
+        self.peers = self._make_peers()
+        announcements = Announcements(self.control, self.view.group)
+        announcements.register(self._dispatcher)
+        self.failover = self._make_failover(announcements)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self.view.known and not self._draining
+
+    def start(self) -> None:
+        """Follows the tables and accepts callers and peers."""
+        settings = self._settings
+        self.view.start()
+        self.control.start()
+        self.peers.start()
+        if self.failover is not None:
+            self.failover.start()
+        self._upkeep = asyncio.create_task(self._keep_up())
+        self._listeners = [
+            self._platform.listen_for_callers(settings.caller_address, self.sessions.serve),
+            self._platform.listen_for_readiness(settings.readiness_address, lambda: self.ready),
+            listen_for_peers(settings.peer_address, self._dispatcher),
+        ]
+        log_event(Event.INSTANCE_STARTED, address=settings.caller_address)
+
+    async def drain(self) -> None:
+        """Turns the balancer away, then ends the sessions without interrupting a statement."""
+        log_event(Event.INSTANCE_STOPPING, sessions=self.sessions.sessions)
+        self._draining = True
+        await GatewayShutdown(self.sessions, self._settings.grace_s).run()
+        await self.control.leave()
+        log_event(Event.DRAIN_FINISHED, sessions=self.sessions.sessions)
+
+    def stop(self) -> None:
+        """Ends everything."""
+        for listener in self._listeners:
+            listener.stop()
+        if self._upkeep is not None:
+            self._upkeep.cancel()
+        if self.failover is not None:
+            self.failover.close()
+        self.peers.close()
+        self.control.close()
+        self.view.close()
+        self._transport.close()
+        self._platform.close()
+        log_event(Event.INSTANCE_STOPPED)
+
+    def _make_peers(self) -> GatewayPeers:
+        settings = self._settings
+        names = self._platform.tables
+        peers = GatewayPeers(
+            self.control,
+            self._transport,
+            tables={
+                CONTROL_TABLE: self.control.feed,
+                names.operators: self.view.operators,
+                names.members: self.view.members,
+            },
+            own_state=self._state,
+            seeds=list(settings.seeds),
+            address=settings.peer_address,
+            data_centre=settings.data_centre,
+        )
+        peers.register(self._dispatcher)
+        return peers
+
+    def _make_failover(self, announcements: Announcements) -> Failover | None:
+        promoter = self._platform.promoter
+        if promoter is None:
+            return None
+        return Failover(
+            self.control,
+            self.peers,
+            announcements,
+            groups=lambda: self.view.groups,
+            store=self._platform.store,
+            promoter=promoter,
+            members=MemberControl(self._platform.connector),
+        )
+
+    def _state(self) -> GatewayState:
+        """What peers are told about this instance."""
+        names = self._platform.tables
+        unreachable = {
+            name: group.primary.health.failed_for_s
+            for name, group in self.view.groups.items()
+            if group.primary is not None and not group.primary.health.available
+        }
+        return GatewayState(
+            name=self._settings.instance_id,
+            changed={
+                CONTROL_TABLE: self.control.feed.changed,
+                names.operators: self.view.operators.changed,
+                names.members: self.view.members.changed,
+            },
+            store_evidence_age_s=evidence_age_s(self.control),
+            unreachable=unreachable,
+            leaving=self._draining,
+        )
+
+    async def _keep_up(self) -> None:
+        """Probes suspect members and closes spare links."""
+        while True:
+            await asyncio.sleep(UPKEEP_S)
+            self.view.instances = max(len(self.control.instances), 1)
+            for group in self.view.groups.values():
+                for pool in group.pools:
+                    if not pool.health.available or pool.health.suspicious:
+                        pool.probe()
+                    pool.close_spare()
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -0,0 +1,247 @@
+"""One database group: its members, its primary and what is known of their logs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from wigeonpoint.backend import LogPosition, MemberRole
+from wigeonpoint.connection.session import MemberConnector
+from wigeonpoint.process.gateway._member_pool import MemberPool
+from wigeonpoint.process.gateway._placement import ReadOption, choose_reader
+from wigeonpoint.process.gateway._positions import PositionSamples, ReplicaProgress
+from wigeonpoint.version.catalogue import Consistency, DatabaseRoute, MemberRecord, Service
+
+WARM_LINKS = 2
+# A sample must stay young enough for the way of the read to the replica.
+AGE_MARGIN_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class ReadRequirement:
+    """What a member must have applied to serve a read.
+
+    Attributes:
+        primary_only: Whether only the primary can serve it.
+        position: Position that a replica must have applied.
+    """
+
+    primary_only: bool
+    position: LogPosition | None = None
+
+
+PRIMARY_ONLY = ReadRequirement(primary_only=True)
+
+
+class Group:
+    """One database group as this instance sees it.
+
+    Args:
+        name: Name of the group.
+        connector: Opens connections to members.
+        data_centre: Data centre of this instance.
+        service: Gives the service in force.
+        instances: Gives the number of instances that share the members' connections.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        connector: MemberConnector,
+        *,
+        data_centre: str,
+        service: Callable[[], Service],
+        instances: Callable[[], int],
+    ) -> None:
+        self._name = name
+        self._connector = connector
+        self._data_centre = data_centre
+        self._service = service
+        self._instances = instances
+        self._pools: dict[str, MemberPool] = {}
+        self._progress: dict[str, ReplicaProgress] = {}
+        self._leader_id: str | None = None
+        self._leader_known = False
+        self._changed = asyncio.Event()
+        self.samples = PositionSamples()
+
+    @property
+    def name(self) -> str:
+        """Name of the group."""
+        return self._name
+
+    @property
+    def service(self) -> Service:
+        """The service in force."""
+        return self._service()
+
+    @property
+    def pools(self) -> Iterable[MemberPool]:
+        """Pools of all members."""
+        return self._pools.values()
+
+    @property
+    def primary_id(self) -> str | None:
+        """Id of the primary, None while it is not known."""
+        if self._leader_known:
+            return self._leader_id
+        claims = [
+            pool.record for pool in self._pools.values() if pool.record.role is MemberRole.PRIMARY
+        ]
+        return max(claims, key=lambda record: record.born_ms).id if claims else None
+
+    @property
+    def primary(self) -> MemberPool | None:
+        """Pool of the primary, None while it is not known."""
+        return self._pools.get(self.primary_id or "")
+
+    def pool(self, member_id: str) -> MemberPool | None:
+        """Pool of a member."""
+        return self._pools.get(member_id)
+
+    def set_leader(self, member_id: str | None, *, known: bool) -> None:
+        """Sets the primary that the group's record names.
+
+        Args:
+            member_id: The primary, None while it is being changed.
+            known: Whether the group has a record; without one, the members' own word counts.
+        """
+        if known and member_id != self.primary_id:
+            self.samples.forget()
+        self._leader_id = member_id
+        self._leader_known = known
+        self.notify()
+
+    def set_members(self, records: list[MemberRecord]) -> None:
+        """Takes over the members that are listed now."""
+        listed = {record.id: record for record in records}
+        for member_id in self._pools.keys() - listed.keys():
+            self._pools.pop(member_id).retire()
+            self._progress.pop(member_id, None)
+        for record in records:
+            pool = self._pools.get(record.id)
+            if pool is not None and pool.record.address == record.address:
+                pool.update(record)
+                continue
+            if pool is not None:
+                pool.retire()
+            self._pools[record.id] = self._new_pool(record)
+            self._progress[record.id] = ReplicaProgress()
+        self.notify()
+
+    def notify(self) -> None:
+        """Wakes whoever waits for a change of the group."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_for_change(self, timeout: float) -> None:
+        """Waits until the group changes or the time is over.
+
+        Args:
+            timeout: Seconds.
+        """
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout)
+        except TimeoutError:
+            return
+
+    def warm(self) -> None:
+        """Opens the first links to every member."""
+        for pool in self._pools.values():
+            if not pool.record.leaving:
+                pool.warm(WARM_LINKS)
+
+    def requirement(
+        self, route: DatabaseRoute, committed: LogPosition | None, now: float
+    ) -> ReadRequirement:
+        """What a read of a route needs.
+
+        Args:
+            route: The route.
+            committed: Position of the session's last commit, or None.
+            now: Event-loop time in seconds.
+        """
+        if route.consistency is Consistency.CURRENT or route.max_age_s is None:
+            return PRIMARY_ONLY
+        sample = self.samples.oldest_since(now - route.max_age_s + AGE_MARGIN_S)
+        if sample is None:
+            return PRIMARY_ONLY
+        position = sample.position
+        # A commit of a replaced term is, where it survived, before every position of the new one.
+        if committed is not None and committed.term >= position.term:
+            position = max(position, committed)
+        return ReadRequirement(primary_only=False, position=position)
+
+    def choose_reader(
+        self, requirement: ReadRequirement, now: float, *, excluded: frozenset[str]
+    ) -> MemberPool | None:
+        """Chooses the member that serves a read, None when none can now."""
+        primary_id = self.primary_id
+        options = [
+            self._option(pool, primary_id, requirement, now)
+            for pool in self._pools.values()
+            if not pool.record.leaving or pool.record.id == primary_id
+        ]
+        member_id = choose_reader(options, excluded=excluded)
+        return self._pools.get(member_id) if member_id is not None else None
+
+    def note_answer(self, member_id: str, position: LogPosition | None, *, begun_at: float) -> None:
+        """Records the position that came with a member's answer.
+
+        Args:
+            member_id: The member.
+            position: Its position.
+            begun_at: Event-loop time, in seconds, at which the statement was sent.
+        """
+        if position is None:
+            return
+        if member_id == self.primary_id:
+            self.samples.note(position, begun_at)
+            return
+        progress = self._progress.get(member_id)
+        if progress is not None:
+            known_since = self.samples.known_since(position)
+            before = None if known_since is None else begun_at - known_since
+            progress.note_applied(position, committed_before_s=before)
+
+    def note_behind(self, member_id: str, position: LogPosition, now: float) -> None:
+        """Records that a member lacked a position."""
+        progress = self._progress.get(member_id)
+        if progress is not None:
+            known_since = self.samples.known_since(position)
+            progress.note_behind(now, committed_before_s=now - (known_since or now))
+
+    def _new_pool(self, record: MemberRecord) -> MemberPool:
+        return MemberPool(
+            record, self._connector, share=self._share, limit=lambda: self.service.connection_limit
+        )
+
+    def _share(self) -> int:
+        return max(self.service.connection_limit // max(self._instances(), 1), 1)
+
+    def _option(
+        self,
+        pool: MemberPool,
+        primary_id: str | None,
+        requirement: ReadRequirement,
+        now: float,
+    ) -> ReadOption:
+        record = pool.record
+        primary = record.id == primary_id
+        return ReadOption(
+            member_id=record.id,
+            primary=primary,
+            local=record.data_centre == self._data_centre,
+            proven=primary or self._has(record.id, requirement, now),
+            available=pool.health.available,
+            queued=pool.in_use + pool.waiting,
+            slots=record.slots,
+            latency_s=pool.latency.mean_s,
+        )
+
+    def _has(self, member_id: str, requirement: ReadRequirement, now: float) -> bool:
+        if requirement.primary_only or requirement.position is None:
+            return False
+        known_since = self.samples.known_since(requirement.position)
+        return self._progress[member_id].has(requirement.position, now, known_since=known_since)
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -0,0 +1,339 @@
+"""Connections of this instance to one member, given out by rank."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from wigeonpoint.connection.session import (
+    LatencyEstimate,
+    MemberConnector,
+    MemberFault,
+    MemberHealth,
+    MemberLink,
+    MemberRefused,
+    MemberUnreachable,
+)
+from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.process._schedule import QueueEntry, RankedSchedule
+from wigeonpoint.request import Rank
+from wigeonpoint.request.session import TransactionState
+from wigeonpoint.version.catalogue import MemberRecord
+
+CONNECT_TIMEOUT_S = 0.4  # some twenty times a calm connect; a dark address never answers
+LIMIT_PAUSE_S = 1.0  # before the member's connection limit is tried again
+SPARE_LIFE_S = 2.0  # idle links above this instance's share are closed after this time
+MIN_RETRY_MS = 20
+HOLD_WEIGHT = 0.1
+FIRST_HOLD_S = 0.02
+
+
+class MemberPool:
+    """Links to one member.
+
+    An instance keeps to its share of the member's connection limit. It borrows more while work
+    waits, and returns to what it has when the member refuses.
+
+    Args:
+        record: The member.
+        connector: Opens connections.
+        share: Gives the connections that this instance may hold without borrowing.
+        limit: Gives the member's connection limit.
+    """
+
+    def __init__(
+        self,
+        record: MemberRecord,
+        connector: MemberConnector,
+        *,
+        share: Callable[[], int],
+        limit: Callable[[], int],
+    ) -> None:
+        self._record = record
+        self._connector = connector
+        self._share = share
+        self._limit = limit
+        self._idle: deque[MemberLink] = deque()
+        self._in_use: set[MemberLink] = set()
+        self._opening: set[asyncio.Task[None]] = set()
+        self._schedule = RankedSchedule()
+        self._waiting: dict[asyncio.Future[None], QueueEntry] = {}
+        self._granted: dict[asyncio.Future[None], MemberLink] = {}
+        self._ceiling: int | None = None
+        self._ceiling_until = 0.0
+        self._closed = False
+        self._hold_s = FIRST_HOLD_S
+        self.health = MemberHealth()
+        self.latency = LatencyEstimate()
+        self.opened = 0
+        self.refused = 0
+
+    @property
+    def record(self) -> MemberRecord:
+        """The member."""
+        return self._record
+
+    @property
+    def in_use(self) -> int:
+        """Links that carry work."""
+        return len(self._in_use)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a link."""
+        return len(self._schedule)
+
+    @property
+    def open(self) -> int:
+        """Links that are open."""
+        return len(self._idle) + len(self._in_use)
+
+    @property
+    def closed(self) -> bool:
+        """Whether the member is no longer in use."""
+        return self._closed
+
+    def update(self, record: MemberRecord) -> None:
+        """Takes over what the member says of itself now; a restarted one has no connections."""
+        if record.born_ms != self._record.born_ms:
+            self._drop_idle()
+        self._record = record
+
+    async def acquire(
+        self, rank: Rank, *, caller: str, deadline: float, session: int | None = None
+    ) -> MemberLink:
+        """Waits for a link, the most urgent first.
+
+        Args:
+            rank: Urgency.
+            caller: Name for fair queueing within the rank.
+            deadline: Event-loop time, in seconds, until which a link is of use.
+            session: Session number; a link that served the session before is preferred.
+
+        Raises:
+            NotRun: QUEUE_FULL, DEADLINE_UNREACHABLE or BACKEND_UNREACHABLE; nothing was sent.
+        """
+        if self._closed:
+            raise self._unreachable()
+        if not self._schedule:
+            link = self._take_idle(session)
+            if link is not None:
+                return link
+        self._check_wait(rank, caller, deadline)
+        return await self._wait(rank, caller, deadline)
+
+    def release(self, link: MemberLink) -> None:
+        """Returns a link; one that is not idle or lost is closed."""
+        if link not in self._in_use:
+            return
+        self._in_use.discard(link)
+        now = asyncio.get_running_loop().time()
+        if link.closed or self._closed or link.state is not TransactionState.IDLE:
+            link.close()
+            self._open_for_waiting()
+            return
+        self._hold_s += HOLD_WEIGHT * (now - link.idle_since - self._hold_s)
+        link.idle_since = now
+        self._idle.append(link)
+        self._hand_out()
+
+    def retire(self) -> None:
+        """Gives out no further links; links in use are closed when they return."""
+        self._closed = True
+        self._drop_idle()
+        self._refuse_waiting(self._unreachable())
+
+    def warm(self, links: int) -> None:
+        """Opens links ahead of the first statements."""
+        wanted = min(links, self._most()) - self.open - len(self._opening)
+        for _ in range(max(wanted, 0)):
+            self._start_opening()
+
+    def probe(self) -> None:
+        """Tries to connect if nothing else does, so that a suspect member can return."""
+        if not self._opening and self.health.may_try and not self._closed:
+            self._start_opening()
+
+    def close_spare(self) -> None:
+        """Closes idle links above the share that have not been used for a while."""
+        now = asyncio.get_running_loop().time()
+        while self.open > self._share() and self._idle:
+            if now - self._idle[0].idle_since < SPARE_LIFE_S:
+                return
+            self._idle.popleft().close()
+
+    def expected_wait_s(self, rank: Rank, caller: str) -> float:
+        """Seconds until a new request would get a link."""
+        if self._idle:
+            return 0.0
+        links = max(self.open, 1)
+        return self._schedule.wait_work(rank, caller) * self._hold_s / links
+
+    def _take_idle(self, session: int | None) -> MemberLink | None:
+        while self._idle:
+            link = self._preferred(session)
+            if link.closed:
+                link.close()
+                continue
+            self._use(link)
+            return link
+        return None
+
+    def _preferred(self, session: int | None) -> MemberLink:
+        if session is not None:
+            for link in reversed(self._idle):
+                if link.last_session == session:
+                    self._idle.remove(link)
+                    return link
+        return self._idle.pop()
+
+    def _use(self, link: MemberLink) -> None:
+        link.idle_since = asyncio.get_running_loop().time()  # start of the hold, until its release
+        self._in_use.add(link)
+
+    def _check_wait(self, rank: Rank, caller: str, deadline: float) -> None:
+        now = asyncio.get_running_loop().time()
+        wait = self.expected_wait_s(rank, caller)
+        if self._in_use and now + wait > deadline:
+            raise self._late(wait)
+        if not self.open and not self.health.available and not self.health.may_try:
+            raise self._unreachable()
+
+    async def _wait(self, rank: Rank, caller: str, deadline: float) -> MemberLink:
+        loop = asyncio.get_running_loop()
+        entry = QueueEntry(rank, caller, deadline, loop.create_future())
+        self._schedule.push(entry)
+        self._open_for_waiting()
+        timer = loop.call_at(deadline, self._expire, entry)
+        try:
+            await entry.granted
+        except asyncio.CancelledError:
+            self._schedule.remove(entry)
+            link = self._granted.pop(entry.granted, None)
+            if link is not None:
+                self.release(link)
+            raise
+        finally:
+            timer.cancel()
+        return self._granted.pop(entry.granted)
+
+    def _hand_out(self) -> None:
+        while self._schedule and self._idle:
+            link = self._take_idle(None)
+            if link is None:
+                break
+            entry = self._schedule.pop()
+            if entry is None or entry.granted.done():
+                self._in_use.discard(link)
+                self._idle.append(link)
+                continue
+            self._granted[entry.granted] = link
+            entry.granted.set_result(None)
+        self._open_for_waiting()
+
+    def _most(self) -> int:
+        now = asyncio.get_running_loop().time()
+        if self._ceiling is not None and now < self._ceiling_until:
+            return max(self._ceiling, 1)
+        self._ceiling = None
+        return max(self._limit() if self._schedule else self._share(), 1)
+
+    def _open_for_waiting(self) -> None:
+        if self._closed:
+            return
+        while len(self._schedule) > len(self._opening) and self._may_open():
+            self._start_opening()
+
+    def _may_open(self) -> bool:
+        if not self.health.available and (self._opening or not self.health.may_try):
+            return False
+        return self.open + len(self._opening) < self._most()
+
+    def _start_opening(self) -> None:
+        task = asyncio.create_task(self._open())
+        self._opening.add(task)
+        task.add_done_callback(self._finish_opening)
+
+    def _finish_opening(self, task: asyncio.Task[None]) -> None:
+        self._opening.discard(task)
+        if not task.cancelled():
+            task.result()
+            self._hand_out()
+
+    async def _open(self) -> None:
+        try:
+            connection = await self._connector.connect(self._record, timeout=CONNECT_TIMEOUT_S)
+        except MemberUnreachable as error:
+            self._note_unreachable(str(error))
+            return
+        except MemberRefused as error:
+            self._note_refusal(error.fault)
+            return
+        if not self.health.available:
+            log_event(Event.MEMBER_REACHABLE, member=self._record.id)
+        self.health.note_answer()
+        self.opened += 1
+        link = MemberLink(connection, self._record)
+        link.idle_since = asyncio.get_running_loop().time()
+        if self._closed:
+            link.close()
+        else:
+            self._idle.append(link)
+
+    def _note_unreachable(self, reason: str) -> None:
+        if self.health.available:
+            log_event(
+                Event.MEMBER_UNREACHABLE,
+                member=self._record.id,
+                address=self._record.address,
+                reason=reason,
+            )
+        self.health.note_unreachable()
+        # What is open was made before the fault and may be silent for good.
+        self._drop_idle()
+        if not self._in_use:
+            self._refuse_waiting(self._unreachable())
+
+    def _note_refusal(self, fault: MemberFault) -> None:
+        self.refused += 1
+        now = asyncio.get_running_loop().time()
+        if fault is MemberFault.TOO_MANY_CONNECTIONS:
+            self._ceiling, self._ceiling_until = self.open, now + LIMIT_PAUSE_S
+            self.health.note_answer()
+            if not self.open:
+                self._refuse_waiting(self._late(LIMIT_PAUSE_S))
+            return
+        log_event(Event.MEMBER_REFUSED, member=self._record.id, fault=fault.name.lower())
+        self.health.note_unreachable()
+        if not self.open:
+            self._refuse_waiting(self._unreachable())
+
+    def _drop_idle(self) -> None:
+        for link in self._idle:
+            link.close()
+        self._idle.clear()
+
+    def _expire(self, entry: QueueEntry) -> None:
+        if self._schedule.remove(entry) and not entry.granted.done():
+            entry.granted.set_exception(self._late(self._hold_s))
+
+    def _refuse_waiting(self, error: NotRun) -> None:
+        while (entry := self._schedule.pop()) is not None:
+            if not entry.granted.done():
+                entry.granted.set_exception(error)
+
+    def _late(self, wait_s: float) -> NotRun:
+        return NotRun(
+            ResultCode.DEADLINE_UNREACHABLE,
+            f"member {self._record.id} has no connection free in time",
+            retry_after_ms=max(int(wait_s * 1000), MIN_RETRY_MS),
+        )
+
+    def _unreachable(self) -> NotRun:
+        return NotRun(
+            ResultCode.BACKEND_UNREACHABLE,
+            f"member {self._record.id} is not reachable",
+            retry_after_ms=MIN_RETRY_MS,
+        )
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_refusals.py
@@ -0,0 +1,39 @@
+"""Turns what stopped a statement into the reply for its caller."""
+
+from __future__ import annotations
+
+from wigeonpoint.connection.session import MemberAnswer, MemberFault
+from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.request.session import Refusal, Reply, refuse_statement
+
+BUSY_RETRY_MS = 50
+_UNAVAILABLE = frozenset(
+    {ResultCode.BACKEND_UNREACHABLE, ResultCode.NO_PRIMARY, ResultCode.CONNECTION_LIMIT}
+)
+
+
+def reply_for_answer(answer: MemberAnswer) -> Reply:
+    """The reply for a member's complete answer."""
+    if answer.fault is None:
+        return Reply(rows=answer.rows, proof=answer.proof)
+    if answer.fault is MemberFault.UNKNOWN_STATEMENT:
+        return refuse_statement(Refusal.UNAVAILABLE, "prepared statement was lost; repeat it")
+    if answer.fault.not_run:
+        return refuse_statement(
+            Refusal.OVERLOADED,
+            f"not run: {answer.fault.name.lower()}",
+            retry_after_ms=BUSY_RETRY_MS,
+        )
+    if answer.fault is MemberFault.FAILED:
+        return refuse_statement(Refusal.FAILED, answer.detail)
+    if answer.fault is MemberFault.TIMED_OUT:
+        return refuse_statement(Refusal.TIMED_OUT, answer.detail)
+    if answer.fault is MemberFault.MALFORMED:
+        return refuse_statement(Refusal.MALFORMED, answer.detail)
+    return refuse_statement(Refusal.FAILED, answer.detail)
+
+
+def reply_for_error(error: NotRun) -> Reply:
+    """The reply for a statement that was not sent anywhere."""
+    refusal = Refusal.UNAVAILABLE if error.code in _UNAVAILABLE else Refusal.OVERLOADED
+    return refuse_statement(refusal, error.message, retry_after_ms=error.retry_after_ms)
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -0,0 +1,271 @@
+"""Serves one caller's connection, from its first message to its end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+
+from wigeonpoint.connection.session import (
+    CallerConnection,
+    CallerGone,
+    CallerMessage,
+    CallerSession,
+    EndSession,
+    OpenSession,
+    WrongMessage,
+)
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._executor import StatementExecutor, Work
+from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.process.gateway._transactions import TransactionRunner
+from wigeonpoint.request import Access
+from wigeonpoint.request.session import (
+    Refusal,
+    Reply,
+    SessionStatement,
+    TransactionState,
+    Verb,
+    refuse_statement,
+)
+from wigeonpoint.version.catalogue import Catalogue, DatabaseRoute
+
+_DONE = Reply()
+
+
+class SessionService:
+    """Serves sessions.
+
+    Args:
+        catalogue: Gives the catalogue in force.
+        group: Gives the group of a service.
+        executor: Runs single statements.
+        transactions: Runs transactions.
+    """
+
+    def __init__(
+        self,
+        catalogue: Callable[[], Catalogue],
+        group: Callable[[str], Group],
+        executor: StatementExecutor,
+        transactions: TransactionRunner,
+    ) -> None:
+        self._catalogue = catalogue
+        self._group = group
+        self._executor = executor
+        self._transactions = transactions
+        self._sessions: dict[CallerSession, CallerConnection] = {}
+        self._running: set[CallerSession] = set()
+
+    @property
+    def sessions(self) -> int:
+        """Open sessions."""
+        return len(self._sessions)
+
+    @property
+    def running(self) -> int:
+        """Sessions with a statement in progress or an open transaction."""
+        return sum(1 for session in self._sessions if self._busy(session))
+
+    def close_idle(self, most: int) -> None:
+        """Closes sessions that have nothing in progress, longest idle first.
+
+        Args:
+            most: Sessions to close.
+        """
+        idle = [session for session in self._sessions if not self._busy(session)]
+        for session in sorted(idle, key=lambda one: one.active_at)[:most]:
+            self._sessions[session].close()
+
+    def abort_transactions(self) -> None:
+        """Rolls back open transactions that have no statement in progress."""
+        for session in self._sessions:
+            if session.transaction is not None and session not in self._running:
+                self._transactions.roll_back(session)
+                session.state = TransactionState.FAILED
+
+    async def serve(self, connection: CallerConnection) -> None:
+        """Serves a connection until it ends."""
+        session: CallerSession | None = None
+        try:
+            session = await self._open(connection)
+            if session is not None:
+                self._sessions[session] = connection
+                await self._serve_session(connection, session)
+        except CallerGone:
+            pass
+        finally:
+            if session is not None:
+                self._sessions.pop(session, None)
+                self._transactions.roll_back(session)
+            connection.close()
+
+    def _busy(self, session: CallerSession) -> bool:
+        return session in self._running or not session.idle
+
+    async def _open(self, connection: CallerConnection) -> CallerSession | None:
+        message = await connection.receive()
+        if not isinstance(message, OpenSession):
+            problem = message.problem if isinstance(message, WrongMessage) else "not connected"
+            await connection.reject(refuse_statement(Refusal.MALFORMED, problem))
+            return None
+        if message.database not in self._catalogue().routes:
+            reply = refuse_statement(Refusal.UNKNOWN_DATABASE, f"no route {message.database}")
+            await connection.reject(reply)
+            return None
+        await connection.accept()
+        session = CallerSession(message.database)
+        session.active_at = asyncio.get_running_loop().time()
+        return session
+
+    async def _serve_session(self, connection: CallerConnection, session: CallerSession) -> None:
+        while True:
+            message = await self._receive(connection, session)
+            if isinstance(message, EndSession):
+                return
+            if isinstance(message, OpenSession):
+                message = WrongMessage("the session is open already")
+            if isinstance(message, WrongMessage):
+                log_event(Event.MESSAGE_REFUSED, problem=message.problem)
+                refusal = Refusal.TOO_LARGE if message.too_large else Refusal.MALFORMED
+                reply = refuse_statement(refusal, message.problem)
+                if message.fatal:
+                    await connection.reject(reply)
+                    return
+                await connection.reply(reply, session.state)
+                continue
+            await self._answer(connection, session, message)
+
+    async def _receive(self, connection: CallerConnection, session: CallerSession) -> CallerMessage:
+        """Waits for the next message; a transaction that stays idle meanwhile is rolled back."""
+        if session.transaction is None or session.transaction.link is None:
+            return await connection.receive()
+        waiting = asyncio.ensure_future(connection.receive())
+        try:
+            done, _ = await asyncio.wait({waiting}, timeout=self._catalogue().transaction_idle_s)
+            if not done:
+                self._abort_idle(session)
+            return await waiting
+        finally:
+            if not waiting.done():
+                waiting.cancel()
+                with suppress(asyncio.CancelledError, CallerGone):
+                    await waiting
+
+    def _abort_idle(self, session: CallerSession) -> None:
+        if session.transaction is not None:
+            log_event(Event.TRANSACTION_ABORTED, reason="idle", session=session.number)
+            self._transactions.roll_back(session)
+            session.state = TransactionState.FAILED
+
+    async def _answer(
+        self,
+        connection: CallerConnection,
+        session: CallerSession,
+        statement: SessionStatement,
+    ) -> None:
+        self._running.add(session)
+        try:
+            reply = await self._run(session, statement)
+            await connection.reply(reply, session.state)
+        finally:
+            self._running.discard(session)
+            session.active_at = asyncio.get_running_loop().time()
+        if reply.refusal is not None:
+            log_event(
+                Event.STATEMENT_REFUSED,
+                request=statement.id,
+                database=session.database,
+                refusal=reply.refusal.name.lower(),
+                reason=reply.message,
+                retry_after_ms=reply.retry_after_ms,
+            )
+
+    async def _run(self, session: CallerSession, statement: SessionStatement) -> Reply:
+        if session.state is TransactionState.FAILED:
+            return self._end_failed(session, statement)
+        local = self._run_locally(session, statement)
+        if local is not None:
+            return local
+        if statement.verb is Verb.EXECUTE and statement.name not in session.prepared:
+            return refuse_statement(Refusal.UNKNOWN_STATEMENT, f"no statement {statement.name}")
+        transaction = session.transaction
+        if transaction is not None:
+            work = self._work(session, statement, transaction.route)
+            if statement.verb is Verb.COMMIT:
+                return await self._transactions.commit(work, transaction)
+            return await self._transactions.run(work, transaction)
+        return await self._run_single(session, statement)
+
+    async def _run_single(self, session: CallerSession, statement: SessionStatement) -> Reply:
+        if statement.verb in (Verb.COMMIT, Verb.ROLLBACK):
+            return refuse_statement(Refusal.MALFORMED, "no transaction is open")
+        route = self._route(session)
+        if route is None:
+            return self._unknown_database(session)
+        work = self._work(session, statement, route)
+        if self._writes(session, statement):
+            return await self._executor.write(work)
+        return await self._executor.read(work)
+
+    def _end_failed(self, session: CallerSession, statement: SessionStatement) -> Reply:
+        if statement.verb is Verb.ROLLBACK:
+            self._transactions.roll_back(session)
+            return _DONE
+        if statement.verb is Verb.COMMIT:
+            self._transactions.roll_back(session)
+            return refuse_statement(Refusal.ABORTED, "the transaction had failed")
+        return refuse_statement(Refusal.MALFORMED, "the transaction has failed; end it")
+
+    def _run_locally(self, session: CallerSession, statement: SessionStatement) -> Reply | None:
+        """Answers what needs no member; None for everything else."""
+        match statement.verb:
+            case Verb.SET:
+                session.values[statement.name] = statement.argument
+                return _DONE
+            case Verb.PREPARE if statement.prepared is not None:
+                session.prepared[statement.name] = statement.prepared
+                return _DONE
+            case Verb.DEALLOCATE:
+                if session.prepared.pop(statement.name, None) is None:
+                    return refuse_statement(
+                        Refusal.UNKNOWN_STATEMENT, f"no statement {statement.name}"
+                    )
+                return _DONE
+            case Verb.BEGIN | Verb.BEGIN_READ:
+                return self._begin(session, read_only=statement.verb is Verb.BEGIN_READ)
+            case Verb.ROLLBACK if session.transaction is not None:
+                self._transactions.roll_back(session)
+                return _DONE
+            case Verb.UNKNOWN:
+                return refuse_statement(Refusal.MALFORMED, "unknown statement")
+        return None
+
+    def _begin(self, session: CallerSession, *, read_only: bool) -> Reply:
+        if session.transaction is not None:
+            return refuse_statement(Refusal.MALFORMED, "a transaction is open already")
+        route = self._route(session)
+        if route is None:
+            return self._unknown_database(session)
+        session.begin(route, read_only=read_only)
+        return _DONE
+
+    def _route(self, session: CallerSession) -> DatabaseRoute | None:
+        return self._catalogue().routes.get(session.database)
+
+    @staticmethod
+    def _unknown_database(session: CallerSession) -> Reply:
+        return refuse_statement(Refusal.UNKNOWN_DATABASE, f"no route {session.database}")
+
+    def _work(
+        self, session: CallerSession, statement: SessionStatement, route: DatabaseRoute
+    ) -> Work:
+        now = asyncio.get_running_loop().time()
+        group = self._group(route.service)
+        return Work(session, route, group, statement, deadline=now + route.timeout_s)
+
+    @staticmethod
+    def _writes(session: CallerSession, statement: SessionStatement) -> bool:
+        if statement.verb is Verb.EXECUTE:
+            return session.prepared[statement.name].access is Access.WRITE
+        return statement.verb is Verb.WRITE
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_settings.py
@@ -0,0 +1,34 @@
+"""What a gateway process is told at its start, independent of the file's format."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Settings of a gateway process.
+
+    Attributes:
+        instance_id: Unique name of the instance.
+        data_centre: Its data centre.
+        caller_address: `host:port` on which callers connect.
+        readiness_address: `host:port` on which the balancer asks whether to send callers.
+        peer_address: `host:port` on which other instances connect.
+        seeds: Addresses of some instances, to ask while the store does not answer.
+        store_address: `host:port` of the platform's store.
+        promotion_address: `host:port` of the platform's promotion call, None if there is none.
+        grace_s: Seconds from SIGTERM until the process is killed.
+        leaving_s: Seconds for which a leaving member goes on serving.
+    """
+
+    instance_id: str
+    data_centre: str
+    caller_address: str
+    readiness_address: str
+    peer_address: str
+    seeds: tuple[str, ...]
+    store_address: str
+    promotion_address: str | None
+    grace_s: float
+    leaving_s: float
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -0,0 +1,205 @@
+"""Keeps a copy of one table of the store up to date."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+
+from wigeonpoint.errors import StoreUnavailable
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.services import HistoryLost, RowsRead, RowStore, VersionedRow
+
+FEED_WAIT_S = 8.0  # each answer is a priced call, and a silent connection costs this long
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.4  # entries count as gone two seconds after the store's return
+RECENT_TROUBLE_S = 2.0
+
+OnRows = Callable[[], None]
+
+
+class TableFeed:
+    """A copy of one table, kept up to date by the store's feed.
+
+    Args:
+        store: The store.
+        table: Name of the table.
+        on_change: Called after every change of the copy.
+        random_source: Source of the jitter between attempts.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        on_change: OnRows,
+        *,
+        random_source: random.Random | None = None,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._on_change = on_change
+        self._random = random_source or random.Random()
+        self._rows: dict[str, VersionedRow] = {}
+        self._version = 0
+        self._changed = 0
+        self._loaded = False
+        self._reachable = True
+        self._troubled_at = float("-inf")
+        self._pause = FIRST_PAUSE_S
+        self._task: asyncio.Task[None] | None = None
+        self.calls = 0
+
+    @property
+    def rows(self) -> Mapping[str, VersionedRow]:
+        """Rows by key, without deleted ones."""
+        return self._rows
+
+    @property
+    def version(self) -> int:
+        """Version of the store that the copy is up to."""
+        return self._version
+
+    @property
+    def changed(self) -> int:
+        """Version of the last change of the table that is known."""
+        return self._changed
+
+    @property
+    def loaded(self) -> bool:
+        """Whether the whole table has been read once."""
+        return self._loaded
+
+    @property
+    def reachable(self) -> bool:
+        """Whether the last call was answered."""
+        return self._reachable
+
+    @property
+    def stable(self) -> bool:
+        """Whether the store has answered all along for a while."""
+        now = asyncio.get_running_loop().time()
+        return self._reachable and now - self._troubled_at > RECENT_TROUBLE_S
+
+    def start(self) -> None:
+        """Starts to follow the table."""
+        self._task = asyncio.create_task(self._follow())
+
+    def close(self) -> None:
+        """Stops to follow the table."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def adopt(self, read: RowsRead, changed: int) -> bool:
+        """Takes over the copy of another instance, where it knows a later change.
+
+        Args:
+            read: The copy.
+            changed: Version of the last change that it knows.
+
+        Returns:
+            Whether it was taken over.
+        """
+        if self._loaded and changed <= self._changed:
+            return False
+        self._changed = max(self._changed, changed)
+        if self._loaded and read.version < self._version:
+            # The other instance has applied rows that its own feed has not told of yet.
+            applied = [row for row in read.rows if self._apply_row(row)]
+            if applied:
+                self._on_change()
+        else:
+            self._replace(read)
+        return True
+
+    def apply(self, row: VersionedRow) -> None:
+        """Applies a row that this instance or a peer has written, before the feed tells of it."""
+        if self._apply_row(row):
+            self._on_change()
+
+    async def ask(self) -> None:
+        """Asks the store for changes at once.
+
+        Raises:
+            StoreUnavailable: There was no usable answer.
+        """
+        self.calls += 1
+        try:
+            changes = await self._store.changes(self._table, after=self._version, wait_s=0.0)
+        except HistoryLost:
+            changes = None
+        if changes is None:
+            self.calls += 1
+            self._replace(await self._store.read(self._table))
+        else:
+            self._apply_changes(changes)
+
+    async def _follow(self) -> None:
+        whole = not self._loaded
+        while True:
+            try:
+                whole = await self._step(whole)
+            except StoreUnavailable as error:
+                await self._note_trouble(error)
+                whole = not self._loaded
+            else:
+                self._note_answer()
+
+    async def _step(self, whole: bool) -> bool:
+        """Makes one call; tells whether the next one must read the whole table."""
+        self.calls += 1
+        if whole:
+            self._replace(await self._store.read(self._table))
+            return False
+        try:
+            changes = await self._store.changes(
+                self._table, after=self._version, wait_s=FEED_WAIT_S
+            )
+        except HistoryLost:
+            log_event(Event.HISTORY_LOST, table=self._table, version=self._version)
+            return True
+        self._apply_changes(changes)
+        return False
+
+    def _replace(self, read: RowsRead) -> None:
+        """Takes over a whole table; rows that were written after it stay."""
+        if self._loaded and read.version < self._version:
+            return
+        newer = {key: row for key, row in self._rows.items() if row.version > read.version}
+        self._rows = {row.key: row for row in read.rows if not row.deleted} | newer
+        self._version = read.version
+        self._changed = max([self._changed, *(row.version for row in read.rows)])
+        self._loaded = True
+        self._on_change()
+
+    def _apply_changes(self, changes: RowsRead) -> None:
+        self._version = max(self._version, changes.version)
+        applied = [row for row in changes.rows if self._apply_row(row)]
+        if applied:
+            self._on_change()
+
+    def _apply_row(self, row: VersionedRow) -> bool:
+        known = self._rows.get(row.key)
+        if known is not None and known.version >= row.version:
+            return False
+        self._changed = max(self._changed, row.version)
+        if row.deleted:
+            self._rows.pop(row.key, None)
+        else:
+            self._rows[row.key] = row
+        return True
+
+    async def _note_trouble(self, error: StoreUnavailable) -> None:
+        if self._reachable:
+            log_event(Event.STORE_UNREACHABLE, table=self._table, reason=str(error))
+        self._reachable = False
+        await asyncio.sleep(self._pause * self._random.uniform(0.7, 1.3))
+        self._pause = min(self._pause * 2, LONGEST_PAUSE_S)
+
+    def _note_answer(self) -> None:
+        if not self._reachable:
+            log_event(Event.STORE_REACHABLE, table=self._table, version=self._version)
+            self._troubled_at = asyncio.get_running_loop().time()
+            self._on_change()
+        self._reachable = True
+        self._pause = FIRST_PAUSE_S
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_transactions.py
@@ -0,0 +1,260 @@
+"""Runs transactions, each bound to one connection from its first statement on."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from wigeonpoint.backend import LogPosition
+from wigeonpoint.connection.session import (
+    CallerSession,
+    MemberAnswer,
+    MemberConnectionLost,
+    MemberLink,
+    SessionTransaction,
+)
+from wigeonpoint.errors import NotRun
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._exchange import Exchange, NotSent
+from wigeonpoint.process.gateway._executor import RETRY_PAUSE_S, StatementExecutor, Work
+from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.process.gateway._member_pool import MemberPool
+from wigeonpoint.process.gateway._refusals import reply_for_answer, reply_for_error
+from wigeonpoint.request.session import (
+    Refusal,
+    Reply,
+    TransactionState,
+    Verb,
+    refuse_statement,
+)
+
+ROLLBACK_TIMEOUT_S = 0.5
+BUSY_TRIES = 6
+
+
+@dataclass(frozen=True, slots=True)
+class _Binding:
+    """Where a transaction runs.
+
+    Attributes:
+        group: The database group.
+        pool: Pool of the link.
+        at_primary: Whether the member was the primary when the transaction began.
+    """
+
+    group: Group
+    pool: MemberPool
+    at_primary: bool
+
+
+class TransactionRunner:
+    """Runs the statements of open transactions.
+
+    Args:
+        executor: Hands out links.
+    """
+
+    def __init__(self, executor: StatementExecutor) -> None:
+        self._executor = executor
+        self._bindings: dict[MemberLink, _Binding] = {}
+
+    @property
+    def open(self) -> int:
+        """Transactions that are bound to a link."""
+        return len(self._bindings)
+
+    async def run(self, work: Work, transaction: SessionTransaction) -> Reply:
+        """Runs a statement of an open transaction; a refusal fails the transaction."""
+        exchange = await self._exchange(work, transaction)
+        if isinstance(exchange, Reply):
+            return self._fail(work, exchange)
+        answer = await self._run(work, exchange)
+        if isinstance(answer, Reply):
+            return self._fail(work, answer)
+        if answer.fault is not None:
+            return self._fail(work, reply_for_answer(answer))
+        if not self._may_answer(work, exchange.link):
+            return self._fail(work, _aborted("the primary may have been replaced"))
+        if work.statement.verb is Verb.WRITE or _executes_write(work):
+            transaction.wrote = True
+        return Reply(rows=answer.rows, proof=answer.proof)
+
+    async def commit(self, work: Work, transaction: SessionTransaction) -> Reply:
+        """Commits a transaction; without a complete answer the outcome is in doubt."""
+        exchange = await self._exchange(work, transaction)
+        if isinstance(exchange, Reply):
+            self.roll_back(work.session)
+            return exchange
+        if not self._may_answer(work, exchange.link):
+            self.roll_back(work.session)
+            return _aborted("the primary may have been replaced")
+        reply = await self._commit(work, exchange, transaction)
+        work.session.end()
+        binding = self._bindings.pop(exchange.link)
+        binding.pool.release(exchange.link)
+        return reply
+
+    def roll_back(self, session: CallerSession) -> None:
+        """Ends a transaction without its effects; the caller need not wait for the member."""
+        link = session.end()
+        if link is not None:
+            self._executor.in_background(self._return_link(link))
+
+    async def _exchange(self, work: Work, transaction: SessionTransaction) -> Exchange | Reply:
+        link = transaction.link
+        if link is None:
+            return await self._bind(work, transaction)
+        binding = self._bindings[link]
+        return Exchange(binding.group, binding.pool, link, work.session, work.statement)
+
+    async def _bind(self, work: Work, transaction: SessionTransaction) -> Exchange | Reply:
+        """Begins the transaction at a member; a refusal may be retried, as nothing has run yet."""
+        tried: set[str] = set()
+        pause = RETRY_PAUSE_S
+        last = refuse_statement(Refusal.OVERLOADED, "no member began the transaction in time")
+        for _ in range(BUSY_TRIES):
+            try:
+                exchange, after = await self._open(work, transaction, tried)
+            except NotRun as error:
+                return reply_for_error(error)
+            answer = await self._begin(work, exchange, transaction.read_only, after)
+            if isinstance(answer, MemberAnswer) and answer.fault is None:
+                self._attach(work, transaction, exchange)
+                return exchange
+            tried.add(exchange.pool.record.id)
+            exchange.pool.release(exchange.link)
+            last = answer if isinstance(answer, Reply) else reply_for_answer(answer)
+            if isinstance(answer, MemberAnswer):
+                self._executor.note_fault(work, exchange.pool, answer, after)
+            if work.remaining_s <= pause:
+                break
+            await asyncio.sleep(pause)
+            pause *= 2
+        return last
+
+    async def _open(
+        self, work: Work, transaction: SessionTransaction, tried: set[str]
+    ) -> tuple[Exchange, LogPosition | None]:
+        """Opens a link at a member that may begin the transaction.
+
+        Raises:
+            NotRun: No member is free in time.
+        """
+        if not transaction.read_only:
+            return await self._executor.open_at_primary(work), None
+        now = asyncio.get_running_loop().time()
+        requirement = work.group.requirement(work.route, work.committed, now)
+        pool = work.group.choose_reader(requirement, now, excluded=frozenset(tried))
+        if pool is None or pool.record.id == work.group.primary_id:
+            return await self._executor.open_at_primary(work), None
+        return await self._executor.open(work, pool), requirement.position
+
+    async def _begin(
+        self, work: Work, exchange: Exchange, read_only: bool, after: LogPosition | None
+    ) -> MemberAnswer | Reply:
+        try:
+            async with asyncio.timeout(self._patience_s(work, exchange.pool)):
+                return await exchange.begin(read_only=read_only, after=after)
+        except (MemberConnectionLost, TimeoutError) as error:
+            exchange.link.close()
+            exchange.pool.health.note_silence()
+            return refuse_statement(Refusal.UNAVAILABLE, str(error) or "no answer in time")
+
+    @staticmethod
+    def _patience_s(work: Work, pool: MemberPool) -> float:
+        return max(min(work.remaining_s / 2, 4 * pool.latency.late_after_s), 0.01)
+
+    def _attach(self, work: Work, transaction: SessionTransaction, exchange: Exchange) -> None:
+        # A member that was the primary when it was chosen must still be it for every answer.
+        at_primary = not transaction.read_only or exchange.pool.record.id == work.group.primary_id
+        transaction.link = exchange.link
+        self._bindings[exchange.link] = _Binding(work.group, exchange.pool, at_primary)
+
+    async def _run(self, work: Work, exchange: Exchange) -> MemberAnswer | Reply:
+        """Runs a statement; one that the member did not run is tried again on the same link."""
+        pause = RETRY_PAUSE_S
+        while True:
+            try:
+                async with asyncio.timeout(max(work.remaining_s, 0)):
+                    answer = await exchange.run()
+            except NotSent as refused:
+                answer = refused.answer
+            except (MemberConnectionLost, TimeoutError) as error:
+                exchange.link.close()
+                exchange.pool.health.note_silence()
+                return _aborted(str(error) or "no answer in time")
+            retry = answer.fault is not None and answer.fault.not_run
+            if not retry or answer.state is not TransactionState.OPEN:
+                return answer
+            if work.remaining_s <= pause:
+                return answer
+            await asyncio.sleep(pause)
+            pause *= 2
+
+    async def _commit(
+        self, work: Work, exchange: Exchange, transaction: SessionTransaction
+    ) -> Reply:
+        try:
+            async with asyncio.timeout(max(work.remaining_s, 0)):
+                answer = await exchange.run()
+        except NotSent as refused:
+            exchange.link.close()
+            return _aborted(refused.answer.detail)
+        except (MemberConnectionLost, TimeoutError) as error:
+            exchange.link.close()
+            exchange.pool.health.note_silence()
+            if not exchange.sent or not transaction.wrote:
+                return _aborted("the connection was lost and nothing had been written")
+            return self._executor.in_doubt(work, str(error) or "no answer in time")
+        if answer.fault is None and not self._may_answer(work, exchange.link):
+            if not transaction.wrote:
+                return _aborted("the primary may have been replaced")
+            return self._executor.in_doubt(work, "the primary may have been replaced")
+        if answer.fault is None and transaction.wrote:
+            work.note_commit(answer.position)
+        if answer.fault is not None and answer.fault.not_run:
+            exchange.link.close()  # the member rolls back what the transaction did
+            return _aborted(f"not committed: {answer.fault.name.lower()}")
+        return reply_for_answer(answer)
+
+    def _may_answer(self, work: Work, link: MemberLink) -> bool:
+        binding = self._bindings[link]
+        if not binding.at_primary:
+            return True
+        return self._executor.may_answer(work, binding.pool)
+
+    def _fail(self, work: Work, reply: Reply) -> Reply:
+        """Marks the transaction as failed and gives its link back."""
+        transaction = work.session.transaction
+        if transaction is not None and transaction.link is not None:
+            link, transaction.link = transaction.link, None
+            self._executor.in_background(self._return_link(link))
+        work.session.state = TransactionState.FAILED
+        log_event(
+            Event.TRANSACTION_ABORTED,
+            request=work.statement.id,
+            group=work.group.name,
+            reason=reply.message,
+        )
+        return reply
+
+    async def _return_link(self, link: MemberLink) -> None:
+        binding = self._bindings.pop(link)
+        if not link.closed:
+            try:
+                async with asyncio.timeout(ROLLBACK_TIMEOUT_S):
+                    answer = await link.connection.rollback()
+                link.state = answer.state
+            except (MemberConnectionLost, TimeoutError):
+                link.close()  # the member rolls back when the connection ends
+        binding.pool.release(link)
+
+
+def _executes_write(work: Work) -> bool:
+    prepared = work.session.prepared.get(work.statement.name)
+    executes = work.statement.verb is Verb.EXECUTE
+    return executes and prepared is not None and prepared.access.value == "write"
+
+
+def _aborted(message: str) -> Reply:
+    return refuse_statement(Refusal.ABORTED, message or "transaction rolled back", retry_after_ms=0)
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/control/__init__.py
@@ -0,0 +1,40 @@
+"""Control of a gateway: its peers, its evidence for using primaries, and changes of primary."""
+
+from __future__ import annotations
+
+from wigeonpoint.process.gateway.control._announcements import Announcements
+from wigeonpoint.process.gateway.control._control_state import ControlState
+from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S, Clock, Evidence
+from wigeonpoint.process.gateway.control._failover import Failover
+from wigeonpoint.process.gateway.control._listener import listen_for_peers
+from wigeonpoint.process.gateway.control._member_control import MemberControl
+from wigeonpoint.process.gateway.control._messages import GatewayState
+from wigeonpoint.process.gateway.control._peers import GatewayPeers, evidence_age_s
+from wigeonpoint.process.gateway.control._policy import (
+    PrimaryView,
+    ReplacementReason,
+    choose_candidate,
+    choose_coordinator,
+    replacement_reason,
+)
+from wigeonpoint.process.gateway.control._records import CONTROL_TABLE
+
+__all__ = [
+    "CONTROL_TABLE",
+    "EVIDENCE_LIFE_S",
+    "Announcements",
+    "Clock",
+    "ControlState",
+    "Evidence",
+    "Failover",
+    "GatewayPeers",
+    "GatewayState",
+    "MemberControl",
+    "PrimaryView",
+    "ReplacementReason",
+    "choose_candidate",
+    "choose_coordinator",
+    "evidence_age_s",
+    "listen_for_peers",
+    "replacement_reason",
+]
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -0,0 +1,241 @@
+"""This instance's copy of the control rows, and the evidence that it is complete."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from wigeonpoint.errors import ConditionFailed, StoreUnavailable
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.process.gateway._table_feed import TableFeed
+from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S, Clock, Evidence
+from wigeonpoint.process.gateway.control._records import (
+    CONTROL_TABLE,
+    ControlRecords,
+    encode_record,
+    instance_row,
+)
+from wigeonpoint.services import RowStore, RowTransaction, VersionedRow
+from wigeonpoint.version.catalogue import (
+    Leadership,
+    LeadershipPhase,
+    RegisteredInstance,
+)
+
+# The store is asked when the evidence of the peers has become this old.
+ASK_AFTER_S = 0.4 * EVIDENCE_LIFE_S
+STEP_S = 0.08
+PLANNED_DRAIN_S = 0.15  # for statements in progress at a primary that is leaving
+REGISTER_PAUSE_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class _Drain:
+    """A replaced primary whose answers may still be passed on.
+
+    Attributes:
+        member_id: The member.
+        until: Time, in seconds of the evidence's clock, at which that ends.
+    """
+
+    member_id: str
+    until: float
+
+
+class ControlState:
+    """Control rows, the leaders that they name, and the use of primaries.
+
+    Args:
+        name: Name of this instance.
+        registration: What it registers.
+        store: The store.
+        group: Gives a group by name.
+        clock: Seconds, counted also while the machine is suspended.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        registration: RegisteredInstance,
+        *,
+        store: RowStore,
+        group: Callable[[str], Group],
+        clock: Clock,
+    ) -> None:
+        self._name = name
+        self._registration = registration
+        self._store = store
+        self._group = group
+        self._leaderships: dict[str, Leadership] = {}
+        self._instances: dict[str, RegisteredInstance] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._leaving = False
+        self._held = False
+        self._drains: dict[str, _Drain] = {}
+        self.evidence = Evidence(clock)
+        self.feed = TableFeed(store, CONTROL_TABLE, self._apply_rows)
+
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self._name
+
+    @property
+    def records(self) -> ControlRecords:
+        """The control rows."""
+        return ControlRecords(self.feed.rows)
+
+    @property
+    def instances(self) -> dict[str, RegisteredInstance]:
+        """Registered instances by name, this one included."""
+        return self._instances
+
+    @property
+    def peers(self) -> dict[str, RegisteredInstance]:
+        """Registered instances by name, without this one."""
+        return {name: one for name, one in self._instances.items() if name != self._name}
+
+    @property
+    def registered(self) -> bool:
+        """Whether claimants know of this instance."""
+        return self._instances.get(self._name) == self._registration
+
+    @property
+    def current(self) -> bool:
+        """Whether primaries may be used at all."""
+        return self.registered and self.evidence.holds(self.peers)
+
+    def may_send(self, group: str, member_id: str) -> bool:
+        """Whether a statement may be sent to a member as the primary of a group."""
+        return self.current and self._group(group).primary_id == member_id
+
+    def may_answer(self, group: str, member_id: str) -> bool:
+        """Whether an answer that a member gave as the primary may be passed on now."""
+        return self.may_send(group, member_id) or self._draining(group, member_id)
+
+    def end_drain(self, group: str) -> None:
+        """Passes on no further answers of a replaced primary."""
+        self._drains.pop(group, None)
+
+    def leadership(self, group: str) -> Leadership | None:
+        """The newest record of a group that is known."""
+        return self._leaderships.get(group)
+
+    def note_leadership(self, group: str, leadership: Leadership) -> None:
+        """Takes over a record of a group if it is newer."""
+        known = self._leaderships.get(group)
+        if known is not None and _order(leadership) <= _order(known):
+            return
+        self._leaderships[group] = leadership
+        self._note_drain(group, leadership)
+        log_event(
+            Event.LEADERSHIP_NOTED,
+            group=group,
+            epoch=leadership.epoch,
+            phase=str(leadership.phase),
+            primary=leadership.primary,
+            candidate=leadership.candidate,
+            claimant=leadership.claimant,
+        )
+        stable = leadership.phase is LeadershipPhase.STABLE
+        self._group(group).set_leader(leadership.primary if stable else None, known=True)
+
+    def start(self) -> None:
+        """Follows the control table, registers this instance and keeps the evidence young."""
+        self.feed.start()
+        self._tasks = [
+            asyncio.create_task(self._keep_registered()),
+            asyncio.create_task(self._keep_evidence()),
+        ]
+
+    def close(self) -> None:
+        """Stops all tasks."""
+        self.feed.close()
+        for task in self._tasks:
+            task.cancel()
+
+    async def leave(self) -> None:
+        """Withdraws the registration; no primary may be used afterwards."""
+        self._leaving = True
+        key = instance_row(self._name)
+        self._instances.pop(self._name, None)
+        try:
+            await self._store.commit(RowTransaction(deletes=[key]))
+        except (StoreUnavailable, ConditionFailed) as error:
+            log_event(Event.REGISTRATION_FAILED, reason=str(error))
+
+    def _note_drain(self, group: str, leadership: Leadership) -> None:
+        self._drains.pop(group, None)
+        claimed = leadership.phase is LeadershipPhase.CLAIMED
+        if claimed and leadership.planned and leadership.primary and self.current:
+            until = self.evidence.now + PLANNED_DRAIN_S
+            self._drains[group] = _Drain(leadership.primary, until)
+
+    def _draining(self, group: str, member_id: str) -> bool:
+        drain = self._drains.get(group)
+        if drain is None or drain.member_id != member_id:
+            return False
+        return self.current and self.evidence.now < drain.until
+
+    def _apply_rows(self) -> None:
+        records = self.records
+        instances = records.instances()
+        if self._leaving:
+            instances.pop(self._name, None)
+        for name in self._instances.keys() - instances.keys():
+            self.evidence.forget_peer(name)
+        self._instances = instances
+        for group, leadership in records.leaderships().items():
+            self.note_leadership(group, leadership)
+
+    async def _keep_registered(self) -> None:
+        while True:
+            if self.feed.loaded and not self.registered and not self._leaving:
+                await self._register()
+            await asyncio.sleep(REGISTER_PAUSE_S if self.registered else STEP_S)
+
+    async def _register(self) -> None:
+        key = instance_row(self._name)
+        value = encode_record(self._registration)
+        try:
+            version = await self._store.commit(RowTransaction(puts={key: value}))
+        except (StoreUnavailable, ConditionFailed) as error:
+            log_event(Event.REGISTRATION_FAILED, reason=str(error))
+            await asyncio.sleep(REGISTER_PAUSE_S)
+            return
+        self.feed.apply(VersionedRow(CONTROL_TABLE, key.key, value, version))
+
+    async def _keep_evidence(self) -> None:
+        while True:
+            await asyncio.sleep(STEP_S)
+            if self.feed.loaded and self.evidence.age_s(self.peers) > ASK_AFTER_S:
+                await self._ask_store()
+            self._log_change()
+
+    async def _ask_store(self) -> None:
+        asked_at = self.evidence.now
+        try:
+            await self.feed.ask()
+        except StoreUnavailable:
+            await asyncio.sleep(ASK_AFTER_S)  # the feed logs that the store is away
+            return
+        self.evidence.note_store(asked_at)
+
+    def _log_change(self) -> None:
+        current = self.current
+        if current != self._held:
+            self._held = current
+            event = Event.EVIDENCE_REGAINED if current else Event.EVIDENCE_LOST
+            log_event(
+                event,
+                age_ms=min(int(self.evidence.age_s(self.peers) * 1000), 1_000_000),
+                registered=self.registered,
+                in_contact=len(self.evidence.in_contact(self.peers)),
+                peers=len(self.peers),
+            )
+
+
+def _order(leadership: Leadership) -> tuple[int, bool]:
+    return leadership.epoch, leadership.phase is LeadershipPhase.STABLE
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -0,0 +1,213 @@
+"""Keeps in touch with the other gateways: one task a peer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from wigeonpoint.connection import PeerDispatcher, PeerTransport
+from wigeonpoint.errors import WigeonpointError
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._table_feed import TableFeed
+from wigeonpoint.process.gateway.control._control_state import ControlState
+from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S
+from wigeonpoint.process.gateway.control._messages import (
+    AnnounceLeadership,
+    FetchTable,
+    GatewayPing,
+    GatewayState,
+    LeadershipNoted,
+    TableCopy,
+    TableRow,
+)
+from wigeonpoint.process.gateway.control._records import CONTROL_TABLE
+from wigeonpoint.services import RowsRead, VersionedRow
+
+PING_S = 0.2
+PING_TIMEOUT_S = 0.3
+FETCH_TIMEOUT_S = 0.6
+BEHIND_PINGS = 2  # an own feed that works brings a change before this many pings
+UNREACHABLE_LIFE_S = 0.8  # a peer's view of primaries is of no use when older
+
+OwnState = Callable[[], GatewayState]
+
+
+class GatewayPeers:
+    """Pings the peers, copies tables from those that know more, and answers theirs.
+
+    Args:
+        control: Control state of this instance.
+        transport: Sends messages.
+        tables: Feeds of all tables by name.
+        own_state: Gives the state that peers are told.
+        seeds: Addresses to ask while no instance is known.
+        address: Address of this instance.
+        data_centre: Its data centre.
+    """
+
+    def __init__(
+        self,
+        control: ControlState,
+        transport: PeerTransport,
+        *,
+        tables: Mapping[str, TableFeed],
+        own_state: OwnState,
+        seeds: list[str],
+        address: str,
+        data_centre: str,
+    ) -> None:
+        self._control = control
+        self._transport = transport
+        self._tables = tables
+        self._own_state = own_state
+        self._seeds = [seed for seed in seeds if seed != address]
+        self._address = address
+        self._ping = GatewayPing(control.name, address, data_centre)
+        self._pingers: dict[str, asyncio.Task[None]] = {}
+        self._states: dict[str, tuple[float, GatewayState]] = {}
+        self._behind: dict[tuple[str, str], int] = {}
+        self._keeper: asyncio.Task[None] | None = None
+
+    def register(self, dispatcher: PeerDispatcher) -> None:
+        """Answers pings and requests for copies."""
+        dispatcher.register(GatewayPing, self._answer_ping)
+        dispatcher.register(FetchTable, self._answer_fetch)
+
+    def start(self) -> None:
+        """Starts to ping."""
+        self._keeper = asyncio.create_task(self._keep_pingers())
+
+    def close(self) -> None:
+        """Stops to ping."""
+        if self._keeper is not None:
+            self._keeper.cancel()
+        for task in self._pingers.values():
+            task.cancel()
+
+    def state(self, name: str) -> GatewayState | None:
+        """What a peer said within the life of evidence, None if it does not answer."""
+        known = self._states.get(name)
+        if known is None or self._control.evidence.now - known[0] > UNREACHABLE_LIFE_S:
+            return None
+        return known[1]
+
+    def unreachable_s(self, group: str) -> dict[str, float]:
+        """For each peer that answers, the seconds for which it has not reached a primary."""
+        states = {name: self.state(name) for name in self._control.peers}
+        return {
+            name: state.unreachable.get(group, 0.0)
+            for name, state in states.items()
+            if state is not None
+        }
+
+    async def announce(self, message: AnnounceLeadership, *, timeout: float) -> set[str]:
+        """Tells all peers of a record.
+
+        Args:
+            message: The record.
+            timeout: Seconds to wait for their confirmations.
+
+        Returns:
+            The peers that confirmed it.
+        """
+        peers = self._control.peers
+        replies = await asyncio.gather(
+            *(self._announce_to(peer.address, message, timeout) for peer in peers.values())
+        )
+        return {name for name, confirmed in zip(peers, replies, strict=True) if confirmed}
+
+    async def _announce_to(self, address: str, message: AnnounceLeadership, timeout: float) -> bool:
+        try:
+            reply = await self._transport.request(
+                address, message, LeadershipNoted, timeout=timeout
+            )
+        except WigeonpointError:
+            return False  # the claimant logs who did not confirm
+        return reply.epoch >= message.leadership.epoch
+
+    async def _keep_pingers(self) -> None:
+        while True:
+            wanted = {peer.address for peer in self._control.peers.values()}
+            if not self._control.feed.loaded or not wanted:
+                wanted.update(self._seeds)
+            wanted.discard(self._address)
+            for address in self._pingers.keys() - wanted:
+                self._pingers.pop(address).cancel()
+                self._transport.disconnect(address)
+            for address in wanted - self._pingers.keys():
+                self._pingers[address] = asyncio.create_task(self._ping_peer(address))
+            await asyncio.sleep(PING_S)
+
+    async def _ping_peer(self, address: str) -> None:
+        reached = True
+        while True:
+            asked_at = self._control.evidence.now
+            try:
+                state = await self._transport.request(
+                    address, self._ping, GatewayState, timeout=PING_TIMEOUT_S
+                )
+                await self._learn(address, state)
+            except WigeonpointError as error:
+                self._transport.disconnect(address)
+                if reached:
+                    log_event(Event.PEER_LOST, address=address, reason=error.message)
+                reached = False
+            else:
+                if not reached:
+                    log_event(Event.PEER_REGAINED, address=address, peer=state.name)
+                reached = True
+                self._note(state, asked_at)
+            await asyncio.sleep(PING_S)
+
+    def _note(self, state: GatewayState, asked_at: float) -> None:
+        self._states[state.name] = (asked_at, state)
+        # A registered peer may answer from another address than the one it is registered with.
+        self._control.evidence.note_peer(
+            state.name, asked_at=asked_at, store_evidence_age_s=state.store_evidence_age_s
+        )
+
+    async def _learn(self, address: str, state: GatewayState) -> None:
+        """Fetches tables of which the peer knows later changes.
+
+        Raises:
+            WigeonpointError: The control rows could not be fetched, so that the peer's evidence
+                says nothing about the rows that are known here.
+        """
+        for table, feed in self._tables.items():
+            theirs = state.changed.get(table, 0)
+            if theirs <= feed.changed and (feed.loaded or not theirs):
+                self._behind.pop((address, table), None)
+                continue
+            behind = self._behind[address, table] = self._behind.get((address, table), 0) + 1
+            if table == CONTROL_TABLE or behind >= BEHIND_PINGS or not feed.loaded:
+                await self._fetch(address, table, feed)
+
+    async def _fetch(self, address: str, table: str, feed: TableFeed) -> None:
+        copy = await self._transport.request(
+            address, FetchTable(table), TableCopy, timeout=FETCH_TIMEOUT_S
+        )
+        rows = [
+            VersionedRow(table, row.key, row.value.encode("latin-1"), row.version)
+            for row in copy.rows
+        ]
+        if feed.adopt(RowsRead(rows, copy.version), copy.changed):
+            log_event(Event.TABLE_COPIED, table=table, address=address, version=copy.version)
+
+    async def _answer_ping(self, ping: GatewayPing) -> GatewayState:
+        return self._own_state()
+
+    async def _answer_fetch(self, request: FetchTable) -> TableCopy:
+        feed = self._tables.get(request.table)
+        if feed is None or not feed.loaded:
+            return TableCopy([], 0, 0)
+        rows = [
+            TableRow(row.key, row.value.decode("latin-1"), row.version)
+            for row in feed.rows.values()
+        ]
+        return TableCopy(rows, feed.version, feed.changed)
+
+
+def evidence_age_s(control: ControlState) -> float | None:
+    """Age of the evidence from the store that peers are told, None if it is too old to matter."""
+    age = control.evidence.store_evidence_age_s()
+    return age if age < EVIDENCE_LIFE_S else None
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/control/_records.py
@@ -0,0 +1,90 @@
+"""The system's own rows in the store: leadership of groups, the duty, and the instances."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TypeVar
+
+import orjson
+from pydantic import TypeAdapter, ValidationError
+
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.services import RowKey, VersionedRow
+from wigeonpoint.version.catalogue import Duty, Leadership, RegisteredInstance
+
+CONTROL_TABLE = "wigeonpoint"
+DUTY_KEY = "duty"
+GROUP_PREFIX = "group/"
+INSTANCE_PREFIX = "instance/"
+
+_LEADERSHIP = TypeAdapter(Leadership)
+_DUTY = TypeAdapter(Duty)
+_INSTANCE = TypeAdapter(RegisteredInstance)
+T = TypeVar("T")
+
+
+class ControlRecords:
+    """Decodes a copy of the control table.
+
+    Args:
+        rows: Rows by key, as the copy of the table holds them.
+    """
+
+    def __init__(self, rows: Mapping[str, VersionedRow]) -> None:
+        self._rows = rows
+
+    def version(self, key: str) -> int:
+        """Version of a row, 0 if it does not exist."""
+        row = self._rows.get(key)
+        return 0 if row is None else row.version
+
+    def leadership(self, group: str) -> Leadership | None:
+        """The record of a group, None before its first change of primary."""
+        return self._decode(GROUP_PREFIX + group, _LEADERSHIP)
+
+    def leaderships(self) -> dict[str, Leadership]:
+        """All records by group."""
+        return self._decode_all(GROUP_PREFIX, _LEADERSHIP)
+
+    def duty(self) -> Duty | None:
+        """Who may call for promotions."""
+        return self._decode(DUTY_KEY, _DUTY)
+
+    def instances(self) -> dict[str, RegisteredInstance]:
+        """Registered instances by name."""
+        return self._decode_all(INSTANCE_PREFIX, _INSTANCE)
+
+    def _decode_all(self, prefix: str, adapter: TypeAdapter[T]) -> dict[str, T]:
+        keys = [key for key in self._rows if key.startswith(prefix)]
+        decoded = {key.removeprefix(prefix): self._decode(key, adapter) for key in keys}
+        return {name: value for name, value in decoded.items() if value is not None}
+
+    def _decode(self, key: str, adapter: TypeAdapter[T]) -> T | None:
+        row = self._rows.get(key)
+        if row is None:
+            return None
+        try:
+            return adapter.validate_json(row.value)
+        except ValidationError as error:
+            log_event(Event.ROW_UNREADABLE, row=key, problem=" ".join(str(error).split())[:300])
+            return None
+
+
+def control_row(key: str) -> RowKey:
+    """Names a control row."""
+    return RowKey(CONTROL_TABLE, key)
+
+
+def group_row(group: str) -> RowKey:
+    """Names the record of a group."""
+    return control_row(GROUP_PREFIX + group)
+
+
+def instance_row(instance: str) -> RowKey:
+    """Names the registration of an instance."""
+    return control_row(INSTANCE_PREFIX + instance)
+
+
+def encode_record(record: Leadership | Duty | RegisteredInstance) -> bytes:
+    """Encodes a record for the store."""
+    return orjson.dumps(record)
--- /dev/null
+++ b/src/wigeonpoint/request/session/_reply.py
@@ -0,0 +1,56 @@
+"""What a caller's session is answered."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+
+class Refusal(Enum):
+    """Why a statement was not answered with its result.
+
+    The first group promises that nothing of the caller's attempt is kept; the second group promises
+    nothing; the third group says that the statement itself is wrong.
+    """
+
+    OVERLOADED = auto()  # no capacity in time
+    UNAVAILABLE = auto()  # no backend server can run it now
+    ABORTED = auto()  # the transaction was rolled back
+
+    IN_DOUBT = auto()  # it may have taken effect
+    TIMED_OUT = auto()  # the backend server gave it up
+    FAILED = auto()  # the backend server ran it and failed
+
+    MALFORMED = auto()
+    UNKNOWN_STATEMENT = auto()  # no prepared statement of that name
+    UNKNOWN_DATABASE = auto()
+    TOO_LARGE = auto()
+
+    @property
+    def promises_nothing_kept(self) -> bool:
+        """Whether the refusal says that nothing of the caller's attempt is kept."""
+        return self in (Refusal.OVERLOADED, Refusal.UNAVAILABLE, Refusal.ABORTED)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The answer to one statement.
+
+    Attributes:
+        rows: Rows of the backend server, unchanged.
+        proof: The backend server's proof, None for a statement that needs none.
+        refusal: Why there is no result, or None.
+        message: A sentence for a refusal.
+        retry_after_ms: Milliseconds after which a repeat may succeed, or None.
+    """
+
+    rows: list[str] = field(default_factory=list)
+    proof: str | None = None
+    refusal: Refusal | None = None
+    message: str = ""
+    retry_after_ms: int | None = None
+
+
+def refuse_statement(refusal: Refusal, message: str, *, retry_after_ms: int | None = None) -> Reply:
+    """Builds the reply of a refusal."""
+    return Reply(refusal=refusal, message=message, retry_after_ms=retry_after_ms)
--- /dev/null
+++ b/src/wigeonpoint/services/__init__.py
@@ -0,0 +1,53 @@
+"""The platform's services: protocols and data classes."""
+
+from __future__ import annotations
+
+from wigeonpoint.services._protocol import (
+    Check,
+    ConditionalDirectory,
+    Delete,
+    Directory,
+    DirectoryRead,
+    Listing,
+    ListingKind,
+    ListingState,
+    ObjectStore,
+    Platform,
+    Put,
+    Row,
+    TableService,
+    TableTransaction,
+)
+from wigeonpoint.services._rows import (
+    HistoryLost,
+    Promoter,
+    RowKey,
+    RowsRead,
+    RowStore,
+    RowTransaction,
+    VersionedRow,
+)
+
+__all__ = [
+    "HistoryLost",
+    "Promoter",
+    "RowKey",
+    "RowsRead",
+    "RowStore",
+    "RowTransaction",
+    "VersionedRow",
+    "Check",
+    "ConditionalDirectory",
+    "Delete",
+    "Directory",
+    "DirectoryRead",
+    "Listing",
+    "ListingKind",
+    "ListingState",
+    "ObjectStore",
+    "Platform",
+    "Put",
+    "Row",
+    "TableService",
+    "TableTransaction",
+]
--- a/src/wigeonpoint/standins/_platform.py
+++ b/src/wigeonpoint/standins/_platform.py
@@ -15,7 +15,7 @@
 from tornado.web import Application, RequestHandler
 
 from wigeonpoint.errors import ConditionFailed
-from wigeonpoint.platform import Listing, Platform, TableTransaction
+from wigeonpoint.services import Listing, Platform, TableTransaction
 from wigeonpoint.standins._tables import MemoryDirectory, MemoryObjects, MemoryTables
 
 _TRANSACTION = TypeAdapter(TableTransaction)
--- a/src/wigeonpoint/standins/_tables.py
+++ b/src/wigeonpoint/standins/_tables.py
@@ -6,7 +6,7 @@
 from hashlib import blake2b
 
 from wigeonpoint.errors import ConditionFailed
-from wigeonpoint.platform import DirectoryRead, Listing, Row, TableTransaction
+from wigeonpoint.services import DirectoryRead, Listing, Row, TableTransaction
 
 
 class MemoryTables:
--- a/src/wigeonpoint/version/_configuration_store.py
+++ b/src/wigeonpoint/version/_configuration_store.py
@@ -8,7 +8,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from wigeonpoint.errors import ConfigurationRefused, ResultCode
-from wigeonpoint.platform import Check, Delete, Platform, Put, Row, TableTransaction
+from wigeonpoint.services import Check, Delete, Platform, Put, Row, TableTransaction
 from wigeonpoint.version._rows import POOLS, ROUTES
 from wigeonpoint.version._state import ConfigurationState, state_from_document
 
--- a/src/wigeonpoint/version/_edits.py
+++ b/src/wigeonpoint/version/_edits.py
@@ -16,7 +16,7 @@
     ResultCode,
     StoreUnavailable,
 )
-from wigeonpoint.platform import Check, Delete, Put, Row
+from wigeonpoint.services import Check, Delete, Put, Row
 from wigeonpoint.version._configuration_store import ConfigurationStore, EditRecord, Head
 from wigeonpoint.version._rows import POOLS, ROUTES, RowValue, RowValues
 from wigeonpoint.version._state import (
--- a/src/wigeonpoint/version/_group_record.py
+++ b/src/wigeonpoint/version/_group_record.py
@@ -8,7 +8,7 @@
 from pydantic import TypeAdapter
 
 from wigeonpoint.errors import ConditionFailed, StoreUnavailable
-from wigeonpoint.platform import Check, Put, TableService, TableTransaction
+from wigeonpoint.services import Check, Put, TableService, TableTransaction
 from wigeonpoint.version._history import TermStart
 
 TABLE = "groups"
--- a/src/wigeonpoint/version/_table_acceptance.py
+++ b/src/wigeonpoint/version/_table_acceptance.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection
 
 from wigeonpoint.errors import ConditionFailed
-from wigeonpoint.platform import Check, Row
+from wigeonpoint.services import Check, Row
 from wigeonpoint.version._configuration_store import ConfigurationStore
 from wigeonpoint.version._rows import POOLS, ROUTES, RowProblem, RowValues
 from wigeonpoint.version._state import ConfigurationState, build_state, state_problems
--- /dev/null
+++ b/src/wigeonpoint/version/catalogue/_catalogue.py
@@ -0,0 +1,119 @@
+"""The routes and services of one version of the operators' configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from wigeonpoint.request import Rank
+
+DEFAULT_TIMEOUT_S = 1.0
+DEFAULT_CONNECTION_LIMIT = 16
+DEFAULT_TRANSACTION_IDLE_S = 3.0
+DEFAULT_MESSAGE_BYTES = 1 << 20
+RANKS = (Rank.URGENT, Rank.STANDARD, Rank.BULK)
+
+
+class Consistency(Enum):
+    """Which data a read of a route may see."""
+
+    CURRENT = auto()  # every acknowledged commit
+    SESSION = auto()  # the session's own commits, and others up to a stated age
+    AGED = auto()  # commits up to a stated age
+
+
+@dataclass(frozen=True, slots=True)
+class DatabaseRoute:
+    """Where the statements for one database name go.
+
+    Attributes:
+        name: Name of the route.
+        database: Database name that callers connect to.
+        service: Name of the database group.
+        consistency: Which data its reads may see.
+        rank: Urgency.
+        timeout_s: Longest time of one statement, in seconds.
+        target_s: Latency objective of an operation, in seconds.
+        max_age_s: Oldest data that a read may see, in seconds; None for current data only.
+    """
+
+    name: str
+    database: str
+    service: str
+    consistency: Consistency
+    rank: Rank
+    timeout_s: float = DEFAULT_TIMEOUT_S
+    target_s: float = DEFAULT_TIMEOUT_S
+    max_age_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A database group as the operators configure it.
+
+    Attributes:
+        name: Name of the group.
+        connection_limit: Connections that each member accepts from all instances together.
+        synchronous_replicas: Replicas that have received a commit before it is acknowledged.
+    """
+
+    name: str
+    connection_limit: int = DEFAULT_CONNECTION_LIMIT
+    synchronous_replicas: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Catalogue:
+    """One version of the configuration.
+
+    Attributes:
+        version: Number of the version; higher numbers replace lower ones.
+        routes: Routes by database name.
+        services: Services by name.
+        transaction_idle_s: Seconds after which an idle transaction may be ended.
+        message_bytes: Largest message of a caller.
+    """
+
+    version: int = 0
+    routes: Mapping[str, DatabaseRoute] = field(default_factory=dict)
+    services: Mapping[str, Service] = field(default_factory=dict)
+    transaction_idle_s: float = DEFAULT_TRANSACTION_IDLE_S
+    message_bytes: int = DEFAULT_MESSAGE_BYTES
+
+    def service(self, name: str) -> Service:
+        """A service by name, with defaults where the configuration does not list it."""
+        return self.services.get(name) or Service(name)
+
+
+class CatalogueInForce:
+    """Holds the newest catalogue that this process has seen; it never goes back."""
+
+    def __init__(self) -> None:
+        self._catalogue = Catalogue()
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """The catalogue in force."""
+        return self._catalogue
+
+    @property
+    def known(self) -> bool:
+        """Whether any version has been seen."""
+        return self._catalogue.version > 0
+
+    def offer(self, catalogue: Catalogue) -> bool:
+        """Puts a catalogue in force if it is newer.
+
+        Returns:
+            Whether it is now in force.
+        """
+        if catalogue.version <= self._catalogue.version:
+            return False
+        self._catalogue = catalogue
+        return True
+
+
+def rank_of(priority: int) -> Rank:
+    """Rank of a numeric priority, 0 being the most urgent."""
+    return RANKS[min(max(priority, 0), len(RANKS) - 1)]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,7 +10,7 @@
 from wigeonpoint.backend import BackendAnswer, Exchange, MemberStatus
 from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode, StoreUnavailable
-from wigeonpoint.platform import Platform
+from wigeonpoint.services import Platform
 from wigeonpoint.standins import (
     AppendEntries,
     AppendReply,
--- a/tests/faulty_platform.py
+++ b/tests/faulty_platform.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from wigeonpoint.errors import StoreUnavailable
-from wigeonpoint.platform import (
+from wigeonpoint.services import (
     Listing,
     Put,
     Row,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,15 +15,15 @@
 from tests.faulty_platform import CutTables, FaultyTables, FlakyDirectory
 from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.errors import OutcomeUnknown, ResultCode, WigeonpointError
-from wigeonpoint.platform import (
+from wigeonpoint.process import InstanceCore, Settings
+from wigeonpoint.process._configuration_feed import ConfigurationFeed
+from wigeonpoint.request import Access, Answer, Rank, Statement, StatementRequest
+from wigeonpoint.services import (
     Listing,
     ListingKind,
     ListingState,
     Platform,
 )
-from wigeonpoint.process import InstanceCore, Settings
-from wigeonpoint.process._configuration_feed import ConfigurationFeed
-from wigeonpoint.request import Access, Answer, Rank, Statement, StatementRequest
 from wigeonpoint.standins import (
     DatabaseMemberStandIn,
     MemberOptions,
--- a/tests/replay/_virtual.py
+++ b/tests/replay/_virtual.py
@@ -14,9 +14,9 @@
 from tests.replay._trace import Step, Trace
 from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.errors import WigeonpointError
-from wigeonpoint.platform import Listing, ListingKind, ListingState, Put, TableTransaction
 from wigeonpoint.process import InstanceCore, Settings
 from wigeonpoint.request import Access, Rank, Statement, StatementRequest
+from wigeonpoint.services import Listing, ListingKind, ListingState, Put, TableTransaction
 from wigeonpoint.standins import MemberOptions
 from wigeonpoint.version import Edit, InstanceRecord, RowChange
 
--- a/tests/test_configuration_edits.py
+++ b/tests/test_configuration_edits.py
@@ -10,8 +10,8 @@
 from tests.faulty_platform import FaultyTables
 from tests.fleet import POOL, ROUTE, Fleet
 from wigeonpoint.errors import ConfigurationRefused, ResultCode, StoreUnavailable
-from wigeonpoint.platform import Delete, Platform, TableTransaction
 from wigeonpoint.request import Rank
+from wigeonpoint.services import Delete, Platform, TableTransaction
 from wigeonpoint.standins import MemoryDirectory, MemoryObjects
 from wigeonpoint.version import (
     ConfigurationState,
--- a/tests/test_configuration_machine.py
+++ b/tests/test_configuration_machine.py
@@ -13,7 +13,7 @@
 
 from tests.fleet import Fleet
 from wigeonpoint.errors import ConfigurationRefused, StoreUnavailable
-from wigeonpoint.platform import Delete, TableTransaction
+from wigeonpoint.services import Delete, TableTransaction
 from wigeonpoint.version import Edit, RowChange, build_state
 
 NAMES = st.sampled_from(["a", "b", "c"])
--- a/tests/test_directory_reads.py
+++ b/tests/test_directory_reads.py
@@ -11,13 +11,7 @@
 
 from tests.fakes import FakeNetwork, FakeTransport
 from wigeonpoint.connection import PeerDispatcher
-from wigeonpoint.platform import (
-    ConditionalDirectory,
-    DirectoryRead,
-    Listing,
-    ListingKind,
-    http_platform,
-)
+from wigeonpoint.embedded import http_platform
 from wigeonpoint.process._directory_feed import (
     POLL_S,
     UNCONDITIONAL_POLL_S,
@@ -27,6 +21,12 @@
 )
 from wigeonpoint.process._pollers import list_pollers, table_pollers
 from wigeonpoint.process._swim_messages import ListVersion
+from wigeonpoint.services import (
+    ConditionalDirectory,
+    DirectoryRead,
+    Listing,
+    ListingKind,
+)
 from wigeonpoint.standins import MemoryDirectory, PlatformStandIn
 from wigeonpoint.version import InstanceRecord
 
--- a/tests/test_failover.py
+++ b/tests/test_failover.py
@@ -10,7 +10,7 @@
 from tests.fleet import Fleet
 from wigeonpoint.errors import WigeonpointError
 from wigeonpoint.events import Event
-from wigeonpoint.platform import ListingState
+from wigeonpoint.services import ListingState
 
 BUDGET_S = 6.0
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -11,7 +11,7 @@
 from tests.fleet import Entry, Fleet
 from wigeonpoint.connection import BackendPool
 from wigeonpoint.errors import NotRun, ResultCode
-from wigeonpoint.platform import ListingState
+from wigeonpoint.services import ListingState
 from wigeonpoint.standins import MemberOptions
 
 LIMIT = 4
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,8 +7,8 @@
 import pytest
 
 from tests.fleet import Fleet
-from wigeonpoint.platform import Listing, ListingKind, ListingState
 from wigeonpoint.process._swim_messages import ListVersion, PingMessage, Versions
+from wigeonpoint.services import Listing, ListingKind, ListingState
 from wigeonpoint.version import MemberDelta, MemberState
 
 CHUR = ["chur-1", "chur-2", "chur-3", "chur-4"]
--- a/tests/test_planned_handover.py
+++ b/tests/test_planned_handover.py
@@ -10,7 +10,7 @@
 
 from tests.fleet import GROUP, Fleet
 from wigeonpoint.errors import WigeonpointError
-from wigeonpoint.platform import ListingState
+from wigeonpoint.services import ListingState
 from wigeonpoint.version import Durability
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
--- a/tests/test_promotion_machine.py
+++ b/tests/test_promotion_machine.py
@@ -22,8 +22,8 @@
 from tests.faulty_platform import FaultyTables
 from wigeonpoint.backend import Exchange, MemberRole, MemberStatus
 from wigeonpoint.errors import WigeonpointError
-from wigeonpoint.platform import Row, TableTransaction
 from wigeonpoint.request import Statement
+from wigeonpoint.services import Row, TableTransaction
 from wigeonpoint.standins import MemberOptions
 from wigeonpoint.version import (
     BackendServer,
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -91,4 +91,48 @@
     "RETRY_BUDGET_EMPTY": "Too many requests of the route fail; look for the fault behind them.",
     "POSITION_LOST": "A failover lost writes of a pool with durability `primary`.",
     "COMMIT_UNRESOLVED": "A caller was told that a commit's outcome is unknown.",
+    "MEMBER_UNREACHABLE": (
+        "Work goes to other members; one attempt at a time is made until it answers."
+    ),
+    "MEMBER_REACHABLE": "The member answers again and gets work.",
+    "MEMBER_REFUSED": (
+        "The member names another id or service than its entry; check the entry if it lasts."
+    ),
+    "STATEMENT_REFUSED": (
+        "A caller got a refusal; `reason` says why and `retry_after_ms` when to come back."
+    ),
+    "STATEMENT_IN_DOUBT": (
+        "A write or commit was sent and no complete answer came; only the data tell."
+    ),
+    "STATEMENT_RETRIED": (
+        "A member did not run a statement and it is tried again; `fault` says why."
+    ),
+    "TRANSACTION_ABORTED": "A transaction was rolled back; nothing of it is kept.",
+    "MESSAGE_REFUSED": "A message of a caller could not be read; the connection goes on.",
+    "STORE_UNREACHABLE": (
+        "A call of the store was not answered; the copy of the table stays in use."
+    ),
+    "STORE_REACHABLE": "The store answers again.",
+    "HISTORY_LOST": (
+        "The store no longer holds the changes since the copy; the whole table is read."
+    ),
+    "CATALOGUE_APPLIED": "A new version of routes and services is in force on this instance.",
+    "ROW_UNREADABLE": "A row, route or entry cannot be read and names nobody; the others hold.",
+    "MEMBERS_CHANGED": "A member has left the directory.",
+    "SETTINGS_READ": "The settings file was read after SIGHUP and is valid.",
+    "SETTINGS_REFUSED": (
+        "The changed settings file is wrong; the process goes on with the old values."
+    ),
+    "TABLE_COPIED": "The own feed is behind; another instance had newer rows.",
+    "REGISTRATION_FAILED": "Tried again; until it succeeds this instance uses no primaries.",
+    "PEER_LOST": "Its pings stay unanswered; check the instance if it lasts.",
+    "PEER_REGAINED": "The peer answers pings again.",
+    "EVIDENCE_LOST": "Neither store nor peers rule out a change of primary; writes are refused.",
+    "EVIDENCE_REGAINED": "Writes and current reads are served again.",
+    "LEADERSHIP_NOTED": "A newer record of a group is obeyed from here on.",
+    "REPLACEMENT_STARTED": "This instance arranges a change of primary; `reason` says why.",
+    "PROMOTION_CLAIMED": "The store has the claim; `token` is the fencing token of the calls.",
+    "CLAIM_UNCONFIRMED": "The claimant waits until the others can no longer use the old primary.",
+    "PRIMARY_PROMOTED": "`seconds` counts from the claim.",
+    "PRIMARY_DEMOTED": "`confirmed` is false when the replaced primary does not answer.",
 }
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -36,11 +36,12 @@
     SessionTokens,
     TokenSigner,
 )
-from wigeonpoint.platform import ConditionalDirectory, Listing, ListingKind, http_platform
+from wigeonpoint.embedded import http_platform
 from wigeonpoint.process._group_probe import GroupProbe
 from wigeonpoint.process._topology import Topology
 from wigeonpoint.report import BurnRecorder
 from wigeonpoint.request import Rank
+from wigeonpoint.services import ConditionalDirectory, Listing, ListingKind
 from wigeonpoint.standins import PlatformStandIn
 from wigeonpoint.version import BackendServer, GroupConfirmer, GroupView, InstanceRecord
 
--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -17,7 +17,7 @@
 import orjson
 
 from wigeonpoint.errors import ConditionFailed
-from wigeonpoint.platform import Platform, Row, TableTransaction
+from wigeonpoint.services import Platform, Row, TableTransaction
 from wigeonpoint.standins import MemoryDirectory, MemoryObjects, MemoryTables
 from wigeonpoint.version import (
     ConfigurationState,
