--- a/src/wigeonpoint/backend/__init__.py
+++ b/src/wigeonpoint/backend/__init__.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+from wigeonpoint._lazy import lazy_exports
 from wigeonpoint.backend._protocol import (
     Backend,
     BackendAnswer,
@@ -12,7 +15,14 @@
     MemberRole,
     MemberStatus,
 )
-from wigeonpoint.backend._websocket import WebSocketBackend
+
+if TYPE_CHECKING:
+    from wigeonpoint.backend._websocket import WebSocketBackend
+
+_MODULES = {
+    "wigeonpoint.backend._websocket": ("WebSocketBackend",),
+}
+__getattr__ = lazy_exports(__name__, _MODULES)
 
 __all__ = [
     "Backend",
--- a/src/wigeonpoint/cli/_main.py
+++ b/src/wigeonpoint/cli/_main.py
@@ -2,31 +2,43 @@
 
 from __future__ import annotations
 
+from importlib import import_module
+
 import click
 
 from wigeonpoint import __version__
-from wigeonpoint.cli._check import check
-from wigeonpoint.cli._gateway import gateway
-from wigeonpoint.cli._load import load
-from wigeonpoint.cli._report import report
-from wigeonpoint.cli._rows import row_commands
-from wigeonpoint.cli._serve import serve
-from wigeonpoint.cli._standin import standin
-from wigeonpoint.cli._status import status
 
+# Module and attribute of each command; a process imports only the command that it runs.
+_COMMANDS = {
+    "check": ("wigeonpoint.cli._check", "check"),
+    "gateway": ("wigeonpoint.cli._gateway", "gateway"),
+    "load": ("wigeonpoint.cli._load", "load"),
+    "pool": ("wigeonpoint.cli._rows", "pool"),
+    "report": ("wigeonpoint.cli._report", "report"),
+    "route": ("wigeonpoint.cli._rows", "route"),
+    "serve": ("wigeonpoint.cli._serve", "serve"),
+    "standin": ("wigeonpoint.cli._standin", "standin"),
+    "status": ("wigeonpoint.cli._status", "status"),
+}
+
+
+class _LazyGroup(click.Group):
+    """Imports a command when it is used."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted(_COMMANDS)
 
-@click.group()
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        place = _COMMANDS.get(cmd_name)
+        if place is None:
+            return None
+        module, attribute = place
+        command = getattr(import_module(module), attribute)
+        assert isinstance(command, click.Command)
+        return command
+
+
+@click.group(cls=_LazyGroup)
 @click.version_option(__version__)
 def main() -> None:
     """A database proxy with session consistency and urgent-first service."""
-
-
-main.add_command(report)
-main.add_command(check)
-main.add_command(row_commands("route", "routes", "pool"))
-main.add_command(row_commands("pool", "pools", "group"))
-main.add_command(gateway)
-main.add_command(load)
-main.add_command(serve)
-main.add_command(status)
-main.add_command(standin)
--- a/src/wigeonpoint/cli/_rows.py
+++ b/src/wigeonpoint/cli/_rows.py
@@ -170,3 +170,7 @@
     if row["in_force"] is None:
         return "no"
     return "yes" if row["in_force"] == row["row"] else "an earlier version"
+
+
+route = row_commands("route", "routes", "pool")
+pool = row_commands("pool", "pools", "group")
--- a/src/wigeonpoint/connection/__init__.py
+++ b/src/wigeonpoint/connection/__init__.py
@@ -2,50 +2,105 @@
 
 from __future__ import annotations
 
-from wigeonpoint.connection._backend_pool import BackendPool
-from wigeonpoint.connection._configuration_messages import (
-    AnnounceConfigurationMessage,
-    ConfigurationNumberReply,
-    FetchConfigurationMessage,
-    FetchConfigurationReply,
-    StatusMessage,
-    StatusReply,
-)
-from wigeonpoint.connection._messages import (
-    Acknowledgement,
-    AnnouncePrimaryMessage,
-    BeginMessage,
-    BeginReply,
-    CancelMessage,
-    CancelReply,
-    CommitMessage,
-    ExecuteMessage,
-    FetchHistoryMessage,
-    FetchHistoryReply,
-    PauseWritesMessage,
-    ProbeMemberMessage,
-    ProbeMemberReply,
-    RollbackMessage,
-    SamplePositionMessage,
-    SamplePositionReply,
-    SettleMessage,
-    StatementMessage,
-    WorkDetails,
-)
+from typing import TYPE_CHECKING
+
+from wigeonpoint._lazy import lazy_exports
 from wigeonpoint.connection._peers import (
     PEER_KEY_HEADER,
     PeerChannels,
     PeerDispatcher,
     PeerTransport,
 )
-from wigeonpoint.connection._session_token import Session, SessionTokens
-from wigeonpoint.connection._signing import TokenSigner
-from wigeonpoint.connection._statement_sequence import StatementSequence
-from wigeonpoint.connection._transaction_id import TransactionId, TransactionIds
-from wigeonpoint.connection._transactions import (
-    IDLE_TIMEOUT_S as TRANSACTION_IDLE_TIMEOUT_S,
-)
-from wigeonpoint.connection._transactions import OpenTransaction, Transactions
+
+if TYPE_CHECKING:
+    from wigeonpoint.connection._backend_pool import BackendPool
+    from wigeonpoint.connection._configuration_messages import (
+        AnnounceConfigurationMessage,
+        ConfigurationNumberReply,
+        FetchConfigurationMessage,
+        FetchConfigurationReply,
+        StatusMessage,
+        StatusReply,
+    )
+    from wigeonpoint.connection._messages import (
+        Acknowledgement,
+        AnnouncePrimaryMessage,
+        BeginMessage,
+        BeginReply,
+        CancelMessage,
+        CancelReply,
+        CommitMessage,
+        ExecuteMessage,
+        FetchHistoryMessage,
+        FetchHistoryReply,
+        PauseWritesMessage,
+        ProbeMemberMessage,
+        ProbeMemberReply,
+        RollbackMessage,
+        SamplePositionMessage,
+        SamplePositionReply,
+        SettleMessage,
+        StatementMessage,
+        WorkDetails,
+    )
+    from wigeonpoint.connection._session_token import Session, SessionTokens
+    from wigeonpoint.connection._signing import TokenSigner
+    from wigeonpoint.connection._statement_sequence import StatementSequence
+    from wigeonpoint.connection._transaction_id import TransactionId, TransactionIds
+    from wigeonpoint.connection._transactions import (
+        TRANSACTION_IDLE_TIMEOUT_S,
+        OpenTransaction,
+        Transactions,
+    )
+
+_MODULES = {
+    "wigeonpoint.connection._backend_pool": ("BackendPool",),
+    "wigeonpoint.connection._configuration_messages": (
+        "AnnounceConfigurationMessage",
+        "ConfigurationNumberReply",
+        "FetchConfigurationMessage",
+        "FetchConfigurationReply",
+        "StatusMessage",
+        "StatusReply",
+    ),
+    "wigeonpoint.connection._messages": (
+        "Acknowledgement",
+        "AnnouncePrimaryMessage",
+        "BeginMessage",
+        "BeginReply",
+        "CancelMessage",
+        "CancelReply",
+        "CommitMessage",
+        "ExecuteMessage",
+        "FetchHistoryMessage",
+        "FetchHistoryReply",
+        "PauseWritesMessage",
+        "ProbeMemberMessage",
+        "ProbeMemberReply",
+        "RollbackMessage",
+        "SamplePositionMessage",
+        "SamplePositionReply",
+        "SettleMessage",
+        "StatementMessage",
+        "WorkDetails",
+    ),
+    "wigeonpoint.connection._session_token": (
+        "Session",
+        "SessionTokens",
+    ),
+    "wigeonpoint.connection._signing": ("TokenSigner",),
+    "wigeonpoint.connection._statement_sequence": ("StatementSequence",),
+    "wigeonpoint.connection._transaction_id": (
+        "TransactionId",
+        "TransactionIds",
+    ),
+    "wigeonpoint.connection._transactions": (
+        "TRANSACTION_IDLE_TIMEOUT_S",
+        "OpenTransaction",
+        "Transactions",
+    ),
+}
+__getattr__ = lazy_exports(__name__, _MODULES)
 
 __all__ = [
     "PEER_KEY_HEADER",
--- a/src/wigeonpoint/connection/_transactions.py
+++ b/src/wigeonpoint/connection/_transactions.py
@@ -13,7 +13,7 @@
 from wigeonpoint.errors import InvalidRequest, OutcomeUnknown, ResultCode, WigeonpointError
 from wigeonpoint.request import Rank
 
-IDLE_TIMEOUT_S = 10.0
+TRANSACTION_IDLE_TIMEOUT_S = 10.0
 PREFIX_BYTES = 9
 REFUSED = -2  # no request follows this number
 
@@ -44,7 +44,7 @@
         idle_timeout: Seconds without a statement after which a transaction rolls back.
     """
 
-    def __init__(self, *, idle_timeout: float = IDLE_TIMEOUT_S) -> None:
+    def __init__(self, *, idle_timeout: float = TRANSACTION_IDLE_TIMEOUT_S) -> None:
         self._idle_timeout = idle_timeout
         self._open: dict[str, OpenTransaction] = {}
         # Numbers stay unique across restarts, because databases record them.
--- a/src/wigeonpoint/connection/session/_link.py
+++ b/src/wigeonpoint/connection/session/_link.py
@@ -27,6 +27,7 @@
         self._prepared: dict[PreparedStatement, str] = {}
         self.last_session: int | None = None
         self.idle_since = 0.0
+        self.waiting_since: float | None = None  # event-loop time of an unanswered statement
         self.state = TransactionState.IDLE
 
     @property
--- a/src/wigeonpoint/connection/session/_member_health.py
+++ b/src/wigeonpoint/connection/session/_member_health.py
@@ -6,7 +6,6 @@
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
-SILENT_ANSWERS = 2  # one lost answer alone does not make a member suspect
 
 
 class MemberHealth:
@@ -18,7 +17,6 @@
 
     def __init__(self) -> None:
         self._failures = 0
-        self._silent = 0
         self._paused_until = 0.0
         self._failed_since: float | None = None
         self._answered_at: float | None = None
@@ -33,11 +31,6 @@
         """Whether an attempt to connect should be made now."""
         return asyncio.get_running_loop().time() >= self._paused_until
 
-    @property
-    def suspicious(self) -> bool:
-        """Whether answers stay away, so that a new connection should be tried."""
-        return self._silent >= SILENT_ANSWERS
-
     @property
     def failed_for_s(self) -> float:
         """Seconds since the member stopped answering, 0 while it answers."""
@@ -54,14 +47,9 @@
         """Records an answer or an accepted connection."""
         self._answered_at = asyncio.get_running_loop().time()
         self._failures = 0
-        self._silent = 0
         self._paused_until = 0.0
         self._failed_since = None
 
-    def note_silence(self) -> None:
-        """Records an answer that is unusually late."""
-        self._silent += 1
-
     def note_unreachable(self) -> None:
         """Records a connection that could not be opened."""
         now = asyncio.get_running_loop().time()
--- a/src/wigeonpoint/platform/_members.py
+++ b/src/wigeonpoint/platform/_members.py
@@ -10,6 +10,7 @@
 from wigeonpoint.connection.session import (
     MemberAnswer,
     MemberConnectionLost,
+    MemberFault,
     MemberRefused,
     MemberReport,
     MemberUnreachable,
@@ -31,6 +32,7 @@
 from wigeonpoint.request.session import PreparedStatement, SessionStatement
 from wigeonpoint.version.catalogue import MemberRecord
 
+ACCEPT_TIMEOUT_S = 0.15  # of the network; the member itself may take longer to be ready
 CONNECTING_AS = "wigeonpoint"
 OWN_STATEMENT_ID = "-"  # statements that no caller sent
 
@@ -42,14 +44,17 @@
         """Connects, and names the service and the member that are expected at the address."""
         try:
             async with asyncio.timeout(timeout):
-                stream = await connect_stream(record.address, timeout=timeout)
+                stream = await connect_stream(record.address, timeout=ACCEPT_TIMEOUT_S)
                 connection = LineMemberConnection(stream)
                 try:
                     await connection.open(record)
                 except BaseException:
                     connection.close()
                     raise
-        except (OSError, TimeoutError, MemberConnectionLost) as error:
+        except MemberConnectionLost as error:
+            # A member over its limit may reset the connection instead of saying so.
+            raise MemberRefused(MemberFault.TOO_MANY_CONNECTIONS) from error
+        except (OSError, TimeoutError) as error:
             raise MemberUnreachable(str(error) or "no answer in time") from error
         return connection
 
--- a/src/wigeonpoint/process/gateway/_exchange.py
+++ b/src/wigeonpoint/process/gateway/_exchange.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from wigeonpoint.backend import LogPosition
 from wigeonpoint.connection.session import CallerSession, MemberAnswer, MemberLink
@@ -10,6 +12,8 @@
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.request.session import SessionStatement, TransactionState, Verb
 
+LATE_FLOOR_S = 0.04
+
 
 class NotSent(Exception):
     """The link refused what the statement needs first; the statement itself was not sent.
@@ -61,7 +65,8 @@
         Raises:
             MemberConnectionLost: The connection was lost; nothing of the transaction is kept.
         """
-        answer = await self._link.connection.begin(read_only=read_only, after=after)
+        with self._unanswered():
+            answer = await self._link.connection.begin(read_only=read_only, after=after)
         self._link.state = answer.state
         return answer
 
@@ -78,10 +83,26 @@
         name = await self._restore()
         begun_at = asyncio.get_running_loop().time()
         self.sent = True
-        answer = await self._link.connection.run(self._statement, after=after, prepared_name=name)
+        with self._unanswered():
+            answer = await self._link.connection.run(
+                self._statement, after=after, prepared_name=name
+            )
         self._record(answer, begun_at)
         return answer
 
+    @contextmanager
+    def _unanswered(self) -> Iterator[None]:
+        """Notes that the link waits for an answer, and tells the pool when it is late."""
+        loop = asyncio.get_running_loop()
+        late_s = max(self._pool.latency.late_after_s, LATE_FLOOR_S)
+        timer = loop.call_later(late_s, self._pool.note_late)
+        self._link.waiting_since = loop.time()
+        try:
+            yield
+        finally:
+            timer.cancel()
+            self._link.waiting_since = None
+
     async def _restore(self) -> str | None:
         link, session = self._link, self._session
         link.last_session = session.number
--- a/src/wigeonpoint/process/gateway/_executor.py
+++ b/src/wigeonpoint/process/gateway/_executor.py
@@ -16,7 +16,7 @@
 )
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.events import Event, log_event
-from wigeonpoint.process.gateway._exchange import Exchange, NotSent
+from wigeonpoint.process.gateway._exchange import LATE_FLOOR_S, Exchange, NotSent
 from wigeonpoint.process.gateway._group import Group, ReadRequirement
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway._primary_guard import PrimaryGuard
@@ -31,7 +31,6 @@
 from wigeonpoint.version.catalogue import DatabaseRoute
 
 PARALLEL_READS = 2
-LATE_FLOOR_S = 0.04
 RETRY_PAUSE_S = 0.005
 # A caller is told to come back before a quarter of its objective is spent on waiting in vain.
 WAIT_SHARE = 0.2
@@ -211,7 +210,7 @@
             return refuse_statement(
                 Refusal.UNAVAILABLE, "the connection was lost before the statement was sent"
             )
-        exchange.pool.health.note_silence()
+        exchange.pool.note_late()
         return self.in_doubt(work, str(error) or "no answer in time")
 
     def in_doubt(self, work: Work, reason: str) -> Reply:
@@ -297,7 +296,7 @@
             return refused.answer
         except (MemberConnectionLost, TimeoutError) as error:
             exchange.link.close()
-            pool.health.note_silence()
+            pool.note_late()
             return NotRun(ResultCode.BACKEND_UNREACHABLE, str(error) or "no answer in time")
         finally:
             pool.release(exchange.link)
@@ -347,5 +346,5 @@
     """Waits for an attempt that nobody needs any more, so that its link can be used again."""
     done, _ = await asyncio.wait({task}, timeout=ABANDONED_LIFE_S)
     if not done:
-        pool.health.note_silence()
+        pool.note_late()
         task.cancel()
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -11,7 +11,7 @@
 from wigeonpoint.process.gateway._platform import GatewayPlatform, Listener
 from wigeonpoint.process.gateway._session_service import SessionService
 from wigeonpoint.process.gateway._settings import GatewaySettings
-from wigeonpoint.process.gateway._shutdown import GatewayShutdown
+from wigeonpoint.process.gateway._shutdown import BALANCER_NOTICE_S, GatewayShutdown
 from wigeonpoint.process.gateway._transactions import TransactionRunner
 from wigeonpoint.process.gateway._view import PlatformView
 from wigeonpoint.process.gateway.control import (
@@ -53,6 +53,7 @@
         self._settings = settings
         self._platform = platform
         self._draining = False
+        self._isolated_since: float | None = None
         self._listeners: list[Listener] = []
         self._upkeep: asyncio.Task[None] | None = None
         self._dispatcher = PeerDispatcher()
@@ -78,7 +79,7 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self.view.known and not self._draining
+        return self.view.known and not self._draining and not self.control.isolated
 
     def start(self) -> None:
         """Follows the tables and accepts callers and peers."""
@@ -134,6 +135,7 @@
             seeds=list(settings.seeds),
             address=settings.peer_address,
             data_centre=settings.data_centre,
+            on_lost=self.view.probe_data_centre,
         )
         peers.register(self._dispatcher)
         return peers
@@ -172,13 +174,28 @@
             leaving=self._draining,
         )
 
+    def _send_callers_away(self) -> None:
+        """Closes idle sessions while this instance is isolated: others serve them better.
+
+        The balancer needs some seconds to notice, and sends them here again until then.
+        """
+        if not self.control.isolated:
+            self._isolated_since = None
+            return
+        now = asyncio.get_running_loop().time()
+        if self._isolated_since is None:
+            self._isolated_since = now
+        elif now - self._isolated_since >= BALANCER_NOTICE_S:
+            self.sessions.close_idle(self.sessions.sessions)
+
     async def _keep_up(self) -> None:
         """Probes suspect members and closes spare links."""
         while True:
             await asyncio.sleep(UPKEEP_S)
             self.view.instances = max(len(self.control.instances), 1)
+            self._send_callers_away()
             for group in self.view.groups.values():
                 for pool in group.pools:
-                    if not pool.health.available or pool.health.suspicious:
+                    if not pool.health.available:
                         pool.probe()
                     pool.close_spare()
--- a/src/wigeonpoint/process/gateway/_member_pool.py
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -22,8 +22,16 @@
 from wigeonpoint.request.session import TransactionState
 from wigeonpoint.version.catalogue import MemberRecord
 
-CONNECT_TIMEOUT_S = 0.4  # some twenty times a calm connect; a dark address never answers
-LIMIT_PAUSE_S = 1.0  # before the member's connection limit is tried again
+CONNECT_TIMEOUT_S = 0.6  # a member accepts when it has a slot free
+FIRST_LIMIT_PAUSE_S = 0.05  # before the member's connection limit is tried again
+LONGEST_LIMIT_PAUSE_S = 0.4
+# A member keeps the connections of an instance that lost power for seconds. What this share leaves
+# free lets the instance return before they are dropped.
+SHARE_OF_LIMIT = 0.6
+# For this long after the start, half of the share must do: connections of the former process count.
+STARTING_S = 1.2
+PROVEN_ALIVE_S = 0.1  # an answer this young makes a late one no sign of a fault
+SILENT_LINK_S = 0.2  # a statement unanswered for this long at an unreachable member is given up
 SPARE_LIFE_S = 2.0  # idle links above this instance's share are closed after this time
 MIN_RETRY_MS = 20
 HOLD_WEIGHT = 0.1
@@ -61,8 +69,9 @@
         self._schedule = RankedSchedule()
         self._waiting: dict[asyncio.Future[None], QueueEntry] = {}
         self._granted: dict[asyncio.Future[None], MemberLink] = {}
-        self._ceiling: int | None = None
-        self._ceiling_until = 0.0
+        self._limit_pause_s = FIRST_LIMIT_PAUSE_S
+        self._open_after = 0.0
+        self._started_at = asyncio.get_running_loop().time()
         self._closed = False
         self._hold_s = FIRST_HOLD_S
         self.health = MemberHealth()
@@ -156,10 +165,17 @@
         if not self._opening and self.health.may_try and not self._closed:
             self._start_opening()
 
+    def note_late(self) -> None:
+        """Records an answer that is unusually late; without any other sign of life, probes."""
+        answered_at = self.health.answered_at
+        now = asyncio.get_running_loop().time()
+        if answered_at is None or now - answered_at > PROVEN_ALIVE_S:
+            self.probe()
+
     def close_spare(self) -> None:
         """Closes idle links above the share that have not been used for a while."""
         now = asyncio.get_running_loop().time()
-        while self.open > self._share() and self._idle:
+        while self.open > self._own_share() and self._idle:
             if now - self._idle[0].idle_since < SPARE_LIFE_S:
                 return
             self._idle.popleft().close()
@@ -198,8 +214,12 @@
         wait = self.expected_wait_s(rank, caller)
         if self._in_use and now + wait > deadline:
             raise self._late(wait)
-        if not self.open and not self.health.available and not self.health.may_try:
+        if self.open:
+            return
+        if not self.health.available and not self.health.may_try:
             raise self._unreachable()
+        if now < self._open_after:
+            raise self._late(self._open_after - now)
 
     async def _wait(self, rank: Rank, caller: str, deadline: float) -> MemberLink:
         loop = asyncio.get_running_loop()
@@ -234,11 +254,12 @@
         self._open_for_waiting()
 
     def _most(self) -> int:
-        now = asyncio.get_running_loop().time()
-        if self._ceiling is not None and now < self._ceiling_until:
-            return max(self._ceiling, 1)
-        self._ceiling = None
-        return max(self._limit() if self._schedule else self._share(), 1)
+        if asyncio.get_running_loop().time() - self._started_at < STARTING_S:
+            return max(self._own_share() // 2, 1)
+        return max(self._limit() if self._schedule else self._own_share(), 1)
+
+    def _own_share(self) -> int:
+        return max(int(self._share() * SHARE_OF_LIMIT), 1)
 
     def _open_for_waiting(self) -> None:
         if self._closed:
@@ -249,6 +270,10 @@
     def _may_open(self) -> bool:
         if not self.health.available and (self._opening or not self.health.may_try):
             return False
+        if asyncio.get_running_loop().time() < self._open_after:
+            return False
+        if self._opening and self._limit_pause_s > FIRST_LIMIT_PAUSE_S:
+            return False  # after a refusal, one attempt tells whether there is room again
         return self.open + len(self._opening) < self._most()
 
     def _start_opening(self) -> None:
@@ -274,6 +299,7 @@
         if not self.health.available:
             log_event(Event.MEMBER_REACHABLE, member=self._record.id)
         self.health.note_answer()
+        self._limit_pause_s = FIRST_LIMIT_PAUSE_S
         self.opened += 1
         link = MemberLink(connection, self._record)
         link.idle_since = asyncio.get_running_loop().time()
@@ -293,6 +319,7 @@
         self.health.note_unreachable()
         # What is open was made before the fault and may be silent for good.
         self._drop_idle()
+        self._drop_silent()
         if not self._in_use:
             self._refuse_waiting(self._unreachable())
 
@@ -300,16 +327,24 @@
         self.refused += 1
         now = asyncio.get_running_loop().time()
         if fault is MemberFault.TOO_MANY_CONNECTIONS:
-            self._ceiling, self._ceiling_until = self.open, now + LIMIT_PAUSE_S
+            self._open_after = now + self._limit_pause_s
+            self._limit_pause_s = min(2 * self._limit_pause_s, LONGEST_LIMIT_PAUSE_S)
             self.health.note_answer()
             if not self.open:
-                self._refuse_waiting(self._late(LIMIT_PAUSE_S))
+                self._refuse_waiting(self._late(self._open_after - now))
             return
         log_event(Event.MEMBER_REFUSED, member=self._record.id, fault=fault.name.lower())
         self.health.note_unreachable()
         if not self.open:
             self._refuse_waiting(self._unreachable())
 
+    def _drop_silent(self) -> None:
+        """Ends statements that wait at a member that cannot be reached any more."""
+        now = asyncio.get_running_loop().time()
+        for link in list(self._in_use):
+            if link.waiting_since is not None and now - link.waiting_since >= SILENT_LINK_S:
+                link.close()
+
     def _drop_idle(self) -> None:
         for link in self._idle:
             link.close()
--- a/src/wigeonpoint/process/gateway/_transactions.py
+++ b/src/wigeonpoint/process/gateway/_transactions.py
@@ -157,7 +157,7 @@
                 return await exchange.begin(read_only=read_only, after=after)
         except (MemberConnectionLost, TimeoutError) as error:
             exchange.link.close()
-            exchange.pool.health.note_silence()
+            exchange.pool.note_late()
             return refuse_statement(Refusal.UNAVAILABLE, str(error) or "no answer in time")
 
     @staticmethod
@@ -181,7 +181,7 @@
                 answer = refused.answer
             except (MemberConnectionLost, TimeoutError) as error:
                 exchange.link.close()
-                exchange.pool.health.note_silence()
+                exchange.pool.note_late()
                 return _aborted(str(error) or "no answer in time")
             retry = answer.fault is not None and answer.fault.not_run
             if not retry or answer.state is not TransactionState.OPEN:
@@ -202,7 +202,7 @@
             return _aborted(refused.answer.detail)
         except (MemberConnectionLost, TimeoutError) as error:
             exchange.link.close()
-            exchange.pool.health.note_silence()
+            exchange.pool.note_late()
             if not exchange.sent or not transaction.wrote:
                 return _aborted("the connection was lost and nothing had been written")
             return self._executor.in_doubt(work, str(error) or "no answer in time")
--- a/src/wigeonpoint/process/gateway/_view.py
+++ b/src/wigeonpoint/process/gateway/_view.py
@@ -65,6 +65,13 @@
             )
         return group
 
+    def probe_data_centre(self, data_centre: str) -> None:
+        """Tries to connect to the members of a data centre that has perhaps been cut off."""
+        for group in self._groups.values():
+            for pool in group.pools:
+                if pool.record.data_centre == data_centre:
+                    pool.note_late()
+
     def start(self) -> None:
         """Starts to follow the tables."""
         self.operators.start()
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -102,6 +102,15 @@
         """Whether claimants know of this instance."""
         return self._instances.get(self._name) == self._registration
 
+    @property
+    def isolated(self) -> bool:
+        """Whether neither the store nor any other data centre can be reached from here."""
+        if self.current or not self.feed.loaded:
+            return False
+        own = self._registration.data_centre
+        others = {name for name, peer in self.peers.items() if peer.data_centre != own}
+        return bool(others) and not self.evidence.in_contact(others)
+
     @property
     def current(self) -> bool:
         """Whether primaries may be used at all."""
--- a/src/wigeonpoint/process/gateway/control/_evidence.py
+++ b/src/wigeonpoint/process/gateway/control/_evidence.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
-EVIDENCE_LIFE_S = 0.8
+EVIDENCE_LIFE_S = 0.6
 Clock = Callable[[], float]
 
 
--- a/src/wigeonpoint/process/gateway/control/_member_control.py
+++ b/src/wigeonpoint/process/gateway/control/_member_control.py
@@ -15,7 +15,7 @@
 )
 from wigeonpoint.version.catalogue import MemberRecord
 
-CALL_TIMEOUT_S = 0.4
+CALL_TIMEOUT_S = 0.25
 
 _FAILURES = (MemberUnreachable, MemberRefused, MemberConnectionLost, TimeoutError)
 
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -23,8 +23,8 @@
 from wigeonpoint.process.gateway.control._records import CONTROL_TABLE
 from wigeonpoint.services import RowsRead, VersionedRow
 
-PING_S = 0.2
-PING_TIMEOUT_S = 0.3
+PING_S = 0.15
+PING_TIMEOUT_S = 0.25
 FETCH_TIMEOUT_S = 0.6
 BEHIND_PINGS = 2  # an own feed that works brings a change before this many pings
 UNREACHABLE_LIFE_S = 0.8  # a peer's view of primaries is of no use when older
@@ -43,6 +43,7 @@
         seeds: Addresses to ask while no instance is known.
         address: Address of this instance.
         data_centre: Its data centre.
+        on_lost: Called with the data centre of a peer that stops answering.
     """
 
     def __init__(
@@ -55,6 +56,7 @@
         seeds: list[str],
         address: str,
         data_centre: str,
+        on_lost: Callable[[str], None],
     ) -> None:
         self._control = control
         self._transport = transport
@@ -62,6 +64,7 @@
         self._own_state = own_state
         self._seeds = [seed for seed in seeds if seed != address]
         self._address = address
+        self._on_lost = on_lost
         self._ping = GatewayPing(control.name, address, data_centre)
         self._pingers: dict[str, asyncio.Task[None]] = {}
         self._states: dict[str, tuple[float, GatewayState]] = {}
@@ -151,6 +154,7 @@
                 self._transport.disconnect(address)
                 if reached:
                     log_event(Event.PEER_LOST, address=address, reason=error.message)
+                    self._report_lost(address)
                 reached = False
             else:
                 if not reached:
@@ -159,6 +163,11 @@
                 self._note(state, asked_at)
             await asyncio.sleep(PING_S)
 
+    def _report_lost(self, address: str) -> None:
+        for peer in self._control.peers.values():
+            if peer.address == address:
+                self._on_lost(peer.data_centre)
+
     def _note(self, state: GatewayState, asked_at: float) -> None:
         self._states[state.name] = (asked_at, state)
         # A registered peer may answer from another address than the one it is registered with.
