--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -31,6 +31,7 @@
     PEER_REGAINED = (304, logging.INFO, "a peer answers again")
     EVIDENCE_LOST = (305, logging.WARNING, "primaries may not be used: no evidence of their lead")
     EVIDENCE_REGAINED = (306, logging.INFO, "primaries may be used")
+    INSTANCE_WITHDRAWN = (307, logging.WARNING, "registration of a lost instance withdrawn")
     DIRECTORY_AVAILABLE = (302, logging.INFO, "the platform's list can be read again")
 
     CONFIGURATION_APPLIED = (200, logging.INFO, "configuration state in force")
@@ -63,6 +64,7 @@
     CLAIM_UNCONFIRMED = (415, logging.WARNING, "not all instances confirmed the claim")
     PRIMARY_PROMOTED = (416, logging.INFO, "the new primary leads")
     PRIMARY_DEMOTED = (417, logging.INFO, "the replaced primary was told to follow")
+    MEMBERS_SUSPENDED = (418, logging.INFO, "members obey the new term only")
     RETRY_BUDGET_EMPTY = (600, logging.WARNING, "retry budget of the route is used up")
     POSITION_LOST = (601, logging.ERROR, "a session requires a position that no log contains")
     COMMIT_UNRESOLVED = (602, logging.WARNING, "the outcome of a commit could not be resolved")
--- a/src/wigeonpoint/connection/session/_protocols.py
+++ b/src/wigeonpoint/connection/session/_protocols.py
@@ -171,6 +171,10 @@
         """Stops a replica from receiving from primaries of lower terms."""
         ...
 
+    async def resume(self) -> MemberReport | None:
+        """Ends a suspension."""
+        ...
+
     async def demote(self, term: int) -> MemberReport | None:
         """Makes a primary of a lower term a replica."""
         ...
--- a/src/wigeonpoint/platform/_members.py
+++ b/src/wigeonpoint/platform/_members.py
@@ -122,6 +122,10 @@
         """Stops a replica from receiving from primaries of lower terms."""
         return await self._report(f"SUSPEND {term}")
 
+    async def resume(self) -> MemberReport | None:
+        """Ends a suspension."""
+        return await self._report("RESUME")
+
     async def demote(self, term: int) -> MemberReport | None:
         """Makes a primary of a lower term a replica."""
         return await self._report(f"DEMOTE {term}")
--- a/src/wigeonpoint/process/gateway/_exchange.py
+++ b/src/wigeonpoint/process/gateway/_exchange.py
@@ -5,9 +5,10 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 
 from wigeonpoint.backend import LogPosition
-from wigeonpoint.connection.session import CallerSession, MemberAnswer, MemberLink
+from wigeonpoint.connection.session import CallerSession, MemberAnswer, MemberFault, MemberLink
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.request.session import SessionStatement, TransactionState, Verb
@@ -68,7 +69,7 @@
         with self._unanswered():
             answer = await self._link.connection.begin(read_only=read_only, after=after)
         self._link.state = answer.state
-        return answer
+        return _checked(answer, after)
 
     async def run(self, *, after: LogPosition | None = None) -> MemberAnswer:
         """Runs the statement.
@@ -88,7 +89,7 @@
                 self._statement, after=after, prepared_name=name
             )
         self._record(answer, begun_at)
-        return answer
+        return _checked(answer, after)
 
     @contextmanager
     def _unanswered(self) -> Iterator[None]:
@@ -124,3 +125,16 @@
         self._pool.latency.record(now - begun_at)
         if self._link.state is not TransactionState.FAILED:
             self._group.note_answer(self._pool.record.id, answer.position, begun_at=begun_at)
+
+
+def _checked(answer: MemberAnswer, after: LogPosition | None) -> MemberAnswer:
+    """Takes an answer that does not prove the required position for that of a member behind.
+
+    A replaced primary that nobody has told yet has a log of the required length, but of an older
+    term, and may compare lengths only.
+    """
+    if answer.fault is not None or after is None:
+        return answer
+    if answer.position is not None and answer.position >= after:
+        return answer
+    return replace(answer, rows=[], proof=None, fault=MemberFault.BEHIND, detail="older term")
--- a/src/wigeonpoint/process/gateway/_executor.py
+++ b/src/wigeonpoint/process/gateway/_executor.py
@@ -138,6 +138,7 @@
             NotRun: NO_PRIMARY.
         """
         loop = asyncio.get_running_loop()
+        work.group.primary_wanted_at = loop.time()
         give_up = min(work.deadline, loop.time() + WAIT_SHARE * work.route.target_s)
         while True:
             pool = work.group.primary
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -23,6 +23,7 @@
     GatewayPeers,
     GatewayState,
     MemberControl,
+    MemberEvidence,
     evidence_age_s,
     listen_for_peers,
 )
@@ -59,11 +60,15 @@
         self._dispatcher = PeerDispatcher()
         self._transport = PeerChannels(settings.peer_address, self._dispatcher, NO_PEER_KEY)
         self.view = PlatformView(platform, settings.data_centre)
+        member_evidence = MemberEvidence(
+            MemberControl(platform.connector), lambda: self.view.groups, clock
+        )
         self.control = ControlState(
             settings.instance_id,
             RegisteredInstance(settings.peer_address, settings.data_centre),
             store=platform.store,
             group=self.view.group,
+            member_evidence=member_evidence,
             clock=clock,
         )
         self.executor = StatementExecutor(self.control)
@@ -172,6 +177,7 @@
             store_evidence_age_s=evidence_age_s(self.control),
             unreachable=unreachable,
             leaving=self._draining,
+            in_contact=self.control.evidence.in_contact(self.control.peers),
         )
 
     def _send_callers_away(self) -> None:
--- a/src/wigeonpoint/process/gateway/_group.py
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -65,6 +65,7 @@
         self._leader_known = False
         self._changed = asyncio.Event()
         self.samples = PositionSamples()
+        self.primary_wanted_at = float("-inf")  # event-loop time of the last use of the primary
 
     @property
     def name(self) -> str:
--- a/src/wigeonpoint/process/gateway/control/__init__.py
+++ b/src/wigeonpoint/process/gateway/control/__init__.py
@@ -8,6 +8,7 @@
 from wigeonpoint.process.gateway.control._failover import Failover
 from wigeonpoint.process.gateway.control._listener import listen_for_peers
 from wigeonpoint.process.gateway.control._member_control import MemberControl
+from wigeonpoint.process.gateway.control._member_evidence import MemberEvidence, vouched
 from wigeonpoint.process.gateway.control._messages import GatewayState
 from wigeonpoint.process.gateway.control._peers import GatewayPeers, evidence_age_s
 from wigeonpoint.process.gateway.control._policy import (
@@ -30,6 +31,7 @@
     "GatewayPeers",
     "GatewayState",
     "MemberControl",
+    "MemberEvidence",
     "PrimaryView",
     "ReplacementReason",
     "choose_candidate",
@@ -37,4 +39,5 @@
     "evidence_age_s",
     "listen_for_peers",
     "replacement_reason",
+    "vouched",
 ]
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -11,6 +11,7 @@
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S, Clock, Evidence
+from wigeonpoint.process.gateway.control._member_evidence import MemberEvidence
 from wigeonpoint.process.gateway.control._records import (
     CONTROL_TABLE,
     ControlRecords,
@@ -52,6 +53,7 @@
         registration: What it registers.
         store: The store.
         group: Gives a group by name.
+        member_evidence: Evidence from the members themselves.
         clock: Seconds, counted also while the machine is suspended.
     """
 
@@ -62,12 +64,14 @@
         *,
         store: RowStore,
         group: Callable[[str], Group],
+        member_evidence: MemberEvidence,
         clock: Clock,
     ) -> None:
         self._name = name
         self._registration = registration
         self._store = store
         self._group = group
+        self._member_evidence = member_evidence
         self._leaderships: dict[str, Leadership] = {}
         self._instances: dict[str, RegisteredInstance] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -102,6 +106,11 @@
         """Whether claimants know of this instance."""
         return self._instances.get(self._name) == self._registration
 
+    @property
+    def _fresh(self) -> bool:
+        """Whether store or peers have confirmed the control rows lately."""
+        return self.evidence.age_s(self.peers) < EVIDENCE_LIFE_S / 2
+
     @property
     def isolated(self) -> bool:
         """Whether neither the store nor any other data centre can be reached from here."""
@@ -118,7 +127,9 @@
 
     def may_send(self, group: str, member_id: str) -> bool:
         """Whether a statement may be sent to a member as the primary of a group."""
-        return self.current and self._group(group).primary_id == member_id
+        if not self.registered or self._group(group).primary_id != member_id:
+            return False
+        return self.current or self._member_evidence.holds(group, member_id)
 
     def may_answer(self, group: str, member_id: str) -> bool:
         """Whether an answer that a member gave as the primary may be passed on now."""
@@ -154,6 +165,7 @@
     def start(self) -> None:
         """Follows the control table, registers this instance and keeps the evidence young."""
         self.feed.start()
+        self._member_evidence.start(lambda: self.registered and not self._fresh)
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._keep_evidence()),
@@ -162,9 +174,21 @@
     def close(self) -> None:
         """Stops all tasks."""
         self.feed.close()
+        self._member_evidence.close()
         for task in self._tasks:
             task.cancel()
 
+    async def withdraw(self, name: str) -> None:
+        """Withdraws the registration of an instance that is gone."""
+        key = instance_row(name)
+        version = self.records.version(key.key)
+        try:
+            await self._store.commit(RowTransaction({key: version}, deletes=[key]))
+        except (StoreUnavailable, ConditionFailed) as error:
+            log_event(Event.REGISTRATION_FAILED, instance_withdrawn=name, reason=str(error))
+            return
+        log_event(Event.INSTANCE_WITHDRAWN, withdrawn=name)
+
     async def leave(self) -> None:
         """Withdraws the registration; no primary may be used afterwards."""
         self._leaving = True
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -14,6 +14,7 @@
 from wigeonpoint.process.gateway.control._control_state import PLANNED_DRAIN_S, ControlState
 from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S
 from wigeonpoint.process.gateway.control._member_control import MemberControl
+from wigeonpoint.process.gateway.control._member_evidence import majority
 from wigeonpoint.process.gateway.control._messages import AnnounceLeadership
 from wigeonpoint.process.gateway.control._peers import GatewayPeers
 from wigeonpoint.process.gateway.control._policy import (
@@ -40,6 +41,7 @@
 CALL_TRIES = 4
 CALL_PAUSE_S = 0.2
 STORE_TRIES = 3
+LOST_S = 6.0  # an instance that restarts, or is cut off for a while, is back before
 STUCK_CLAIM_S = 1.5  # a claim without progress for this long is taken over
 
 
@@ -91,6 +93,7 @@
         self._running: dict[str, asyncio.Task[None]] = {}
         self._not_before: dict[str, float] = {}
         self._claimed_since: dict[str, tuple[int, float]] = {}
+        self._lost_since: dict[str, float] = {}
         self._watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -113,19 +116,39 @@
             for name, group in self._groups().items():
                 if name not in self._running and self._due(name):
                     self._consider(name, group)
+            await self._withdraw_lost()
+
+    async def _withdraw_lost(self) -> None:
+        """Withdraws instances that nobody has heard of for long; they would block evidence."""
+        if not self._control.current or not self._coordinates():
+            return
+        now = self._control.evidence.now
+        for name in list(self._control.peers):
+            if name in self._control.evidence.in_contact([name]):
+                self._lost_since.pop(name, None)
+                continue
+            since = self._lost_since.setdefault(name, now)
+            if now - since >= LOST_S and self._peers.lost_everywhere(name):
+                self._lost_since.pop(name, None)
+                await self._control.withdraw(name)
 
     def _due(self, name: str) -> bool:
         now = asyncio.get_running_loop().time()
         return now >= self._not_before.get(name, 0.0)
 
-    def _consider(self, name: str, group: Group) -> None:
+    def _coordinates(self) -> bool:
+        """Whether this instance arranges changes of primary."""
         contact = self._control.evidence.in_contact(self._control.peers)
         duty = self._control.records.duty()
         coordinator = choose_coordinator(
             own=self._control.name, holder=duty.holder if duty else None, reachable=contact
         )
-        if coordinator != self._control.name:
+        return coordinator == self._control.name
+
+    def _consider(self, name: str, group: Group) -> None:
+        if not self._coordinates():
             return
+        contact = self._control.evidence.in_contact(self._control.peers)
         leadership = self._control.leadership(name)
         if leadership is not None and leadership.phase is LeadershipPhase.CLAIMED:
             if self._stuck(name, leadership, contact):
@@ -193,7 +216,7 @@
             return
         try:
             claim = await self._claim(name, candidate, planned=planned)
-            await self._confirm(claim, planned=planned)
+            await self._confirm(claim, group, planned=planned)
             if not await self._call(claim):
                 return
             await self._settle(claim, group, replaced_record)
@@ -278,8 +301,13 @@
         rows = self._control.feed.rows
         return all(_holds(rows.get(key.key), key, value) for key, value in transaction.puts.items())
 
-    async def _confirm(self, claim: _Claim, *, planned: bool) -> None:
-        """Waits until no instance uses the replaced primary any more."""
+    async def _confirm(self, claim: _Claim, group: Group, *, planned: bool) -> None:
+        """Waits until no instance uses the replaced primary any more.
+
+        Raises:
+            Superseded: An instance did not confirm, and the members that could stand in for it do
+                not answer either.
+        """
         drain_s = PLANNED_DRAIN_S if planned else 0.0
         message = AnnounceLeadership(
             claim.group,
@@ -293,8 +321,28 @@
         missing = self._control.peers.keys() - confirmed
         if missing:
             log_event(Event.CLAIM_UNCONFIRMED, group=claim.group, missing=sorted(missing))
-            passed = self._control.evidence.now - claim.claimed_at
-            await asyncio.sleep(max(timeout - passed, 0))
+            await self._suspend(claim, group)
+            await asyncio.sleep(timeout)
+
+    async def _suspend(self, claim: _Claim, group: Group) -> None:
+        """Has a majority of the members obey the new term.
+
+        Raises:
+            Superseded: No majority answers.
+        """
+        records = [pool.record for pool in group.pools]
+        reports = await self._members.reports(records)
+        known = [report for report in reports.values() if report is not None]
+        term = max((max(report.term, report.held_term) for report in known), default=0) + 1
+        followers = [
+            record
+            for record in records
+            if (report := reports.get(record.id)) is not None and report.role.value == "replica"
+        ]
+        suspended = await self._members.suspend(followers, term)
+        log_event(Event.MEMBERS_SUSPENDED, group=claim.group, term=term, members=sorted(suspended))
+        if len(suspended) < majority(len(records)):
+            raise Superseded("an instance is missing and no majority of the members answers")
 
     async def _call(self, claim: _Claim) -> bool:
         """Calls for the promotion; whether the member that was chosen takes over.
@@ -348,7 +396,13 @@
             AnnounceLeadership(claim.group, stable, version=0), timeout=EVIDENCE_LIFE_S
         )
         demotion = self._demote(replaced, term)
-        await asyncio.gather(announcement, demotion, self._record(claim, stable))
+        others = [pool.record for pool in group.pools if pool.record.id != candidate]
+        await asyncio.gather(
+            announcement,
+            demotion,
+            self._members.resume(others),
+            self._record(claim, stable),
+        )
 
     async def _wait_for_lead(self, group: Group, candidate: str) -> int | None:
         """Polls the member until it leads; gives its term."""
--- a/src/wigeonpoint/process/gateway/control/_member_control.py
+++ b/src/wigeonpoint/process/gateway/control/_member_control.py
@@ -44,6 +44,21 @@
             if answer is not None
         }
 
+    async def suspend(self, records: list[MemberRecord], term: int) -> set[str]:
+        """Stops members from following primaries of lower terms; those that confirmed it."""
+        answers = await asyncio.gather(
+            *(self._call(record, lambda one: one.suspend(term)) for record in records)
+        )
+        return {
+            record.id
+            for record, answer in zip(records, answers, strict=True)
+            if answer is not None and answer.held_term >= term
+        }
+
+    async def resume(self, records: list[MemberRecord]) -> None:
+        """Lets members follow the primary again."""
+        await asyncio.gather(*(self._call(record, lambda one: one.resume()) for record in records))
+
     async def demote(self, record: MemberRecord, term: int) -> bool:
         """Makes a primary of a lower term a replica; whether it confirmed."""
         answer = await self._call(record, lambda connection: connection.demote(term))
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/control/_member_evidence.py
@@ -0,0 +1,115 @@
+"""Evidence from the members of a group that no other primary has been promoted.
+
+Answers outages of the store while an instance is missing, when neither the store nor the peers can
+rule out a claim. A claimant that some instance has not confirmed promotes only after a majority of
+the group's members has confirmed its term, and the life of evidence has passed since. An instance
+that hears from a majority of the members that they hold no later term than the primary's knows that
+no such majority existed when it asked.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Collection, Mapping
+
+from wigeonpoint.connection.session import MemberReport
+from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S, Clock
+from wigeonpoint.process.gateway.control._member_control import MemberControl
+
+ASK_S = 0.4 * EVIDENCE_LIFE_S
+STEP_S = 0.08
+WANTED_S = 2.0  # groups whose primary nobody has asked for lately are left alone
+
+
+def majority(members: int) -> int:
+    """Members that make a majority."""
+    return members // 2 + 1
+
+
+def vouched(
+    primary: str, reports: Mapping[str, MemberReport | None], members: Collection[str]
+) -> bool:
+    """Whether a majority of the members holds no later term than the primary's.
+
+    Args:
+        primary: Id of the primary.
+        reports: What the members that answered say of themselves.
+        members: Ids of all members.
+    """
+    own = reports.get(primary)
+    if own is None or own.role.value != "primary":
+        return False
+    agreeing = [
+        member
+        for member in members
+        if (report := reports.get(member)) is not None and report.held_term <= own.term
+    ]
+    return len(agreeing) >= majority(len(members))
+
+
+class MemberEvidence:
+    """Asks the members of groups while other evidence is missing.
+
+    Args:
+        members: Control calls to members.
+        groups: Gives the groups by name.
+        clock: Gives seconds, counted also while the machine is suspended.
+    """
+
+    def __init__(
+        self, members: MemberControl, groups: Callable[[], Mapping[str, Group]], clock: Clock
+    ) -> None:
+        self._members = members
+        self._groups = groups
+        self._clock = clock
+        self._made: dict[str, tuple[str, float]] = {}
+        self._asking: dict[str, asyncio.Task[None]] = {}
+        self._task: asyncio.Task[None] | None = None
+        self.asked = 0
+
+    def holds(self, group: str, member_id: str) -> bool:
+        """Whether there is young evidence for a member as the primary of a group."""
+        primary, made_at = self._made.get(group, ("", float("-inf")))
+        return primary == member_id and self._clock() - made_at < EVIDENCE_LIFE_S
+
+    def start(self, needed: Callable[[], bool]) -> None:
+        """Starts to ask whenever other evidence is missing."""
+        self._task = asyncio.create_task(self._run(needed))
+
+    def close(self) -> None:
+        """Stops to ask."""
+        if self._task is not None:
+            self._task.cancel()
+        for task in self._asking.values():
+            task.cancel()
+        self._members.release()
+
+    async def _run(self, needed: Callable[[], bool]) -> None:
+        while True:
+            await asyncio.sleep(STEP_S)
+            if not needed():
+                continue
+            for name, group in self._groups().items():
+                if self._due(name, group):
+                    self._asking[name] = asyncio.create_task(self._ask(name, group))
+
+    def _due(self, name: str, group: Group) -> bool:
+        running = self._asking.get(name)
+        if running is not None and not running.done():
+            return False
+        now = asyncio.get_running_loop().time()
+        if now - group.primary_wanted_at > WANTED_S or group.primary is None:
+            return False
+        return self._clock() - self._made.get(name, ("", float("-inf")))[1] >= ASK_S
+
+    async def _ask(self, name: str, group: Group) -> None:
+        primary = group.primary
+        if primary is None:
+            return
+        asked_at = self._clock()
+        records = [pool.record for pool in group.pools]
+        self.asked += len(records)
+        reports = await self._members.reports(records)
+        if vouched(primary.record.id, reports, [record.id for record in records]):
+            self._made[name] = (primary.record.id, asked_at)
--- a/src/wigeonpoint/process/gateway/control/_messages.py
+++ b/src/wigeonpoint/process/gateway/control/_messages.py
@@ -47,6 +47,8 @@
         store_evidence_age_s: Age of its newest evidence from the store.
         unreachable: Seconds for which it has not reached the primary, by group, where it does not.
         leaving: Whether it is shutting down.
+        knows_sender: Whether the sender of the ping is registered as far as it knows.
+        in_contact: Registered instances that answer it.
     """
 
     name: str
@@ -54,6 +56,8 @@
     store_evidence_age_s: float | None
     unreachable: dict[str, float] = field(default_factory=dict)
     leaving: bool = False
+    knows_sender: bool = False
+    in_contact: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from wigeonpoint.connection import PeerDispatcher, PeerTransport
 from wigeonpoint.errors import WigeonpointError
@@ -22,6 +23,7 @@
 )
 from wigeonpoint.process.gateway.control._records import CONTROL_TABLE
 from wigeonpoint.services import RowsRead, VersionedRow
+from wigeonpoint.version.catalogue import RegisteredInstance
 
 PING_S = 0.15
 PING_TIMEOUT_S = 0.25
@@ -94,6 +96,11 @@
             return None
         return known[1]
 
+    def lost_everywhere(self, name: str) -> bool:
+        """Whether no peer that answers is in contact with an instance."""
+        states = [self.state(peer) for peer in self._control.peers if peer != name]
+        return not any(state is not None and name in state.in_contact for state in states)
+
     def unreachable_s(self, group: str) -> dict[str, float]:
         """For each peer that answers, the seconds for which it has not reached a primary."""
         states = {name: self.state(name) for name in self._control.peers}
@@ -170,7 +177,8 @@
 
     def _note(self, state: GatewayState, asked_at: float) -> None:
         self._states[state.name] = (asked_at, state)
-        # A registered peer may answer from another address than the one it is registered with.
+        if not state.knows_sender:
+            return  # its claims would not wait for this instance
         self._control.evidence.note_peer(
             state.name, asked_at=asked_at, store_evidence_age_s=state.store_evidence_age_s
         )
@@ -203,7 +211,9 @@
             log_event(Event.TABLE_COPIED, table=table, address=address, version=copy.version)
 
     async def _answer_ping(self, ping: GatewayPing) -> GatewayState:
-        return self._own_state()
+        registered = self._control.instances.get(ping.sender)
+        sender = RegisteredInstance(ping.address, ping.data_centre)
+        return replace(self._own_state(), knows_sender=registered == sender)
 
     async def _answer_fetch(self, request: FetchTable) -> TableCopy:
         feed = self._tables.get(request.table)
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -135,4 +135,6 @@
     "CLAIM_UNCONFIRMED": "The claimant waits until the others can no longer use the old primary.",
     "PRIMARY_PROMOTED": "`seconds` counts from the claim.",
     "PRIMARY_DEMOTED": "`confirmed` is false when the replaced primary does not answer.",
+    "INSTANCE_WITHDRAWN": "Nobody had heard of it for seconds; it registers again when it returns.",
+    "MEMBERS_SUSPENDED": "Stands in for an instance that did not confirm a claim.",
 }
