--- a/src/wigeonpoint/connection/session/_latency.py
+++ b/src/wigeonpoint/connection/session/_latency.py
@@ -4,7 +4,7 @@
 
 MEAN_WEIGHT = 0.1
 DEVIATIONS = 5.0
-FIRST_MEAN_S = 0.03
+FIRST_MEAN_S = 0.005  # low, so that a member that has not been tried is tried
 FIRST_DEVIATION_S = 0.01
 
 
--- a/src/wigeonpoint/platform/_platform.py
+++ b/src/wigeonpoint/platform/_platform.py
@@ -5,9 +5,11 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from wigeonpoint.connection import PeerChannels, PeerDispatcher, PeerTransport
 from wigeonpoint.platform._callers import LineListener
 from wigeonpoint.platform._http import HttpClient
 from wigeonpoint.platform._members import LineMemberConnector
+from wigeonpoint.platform._peers import PeerHandler
 from wigeonpoint.platform._promotion import PlatformPromoter
 from wigeonpoint.platform._sockets import split_address
 from wigeonpoint.platform._store import PlatformRowStore
@@ -29,6 +31,8 @@
 from wigeonpoint.version.catalogue import Catalogue, MemberRecord
 
 READINESS_PATH = "/readiness"
+# Peers reach each other only on the platform's own network, so there is no secret to present.
+NO_PEER_KEY = ""
 
 
 class UserPlatform:
@@ -82,16 +86,22 @@
         listener.listen(port, host)
         return listener
 
+    def peer_transport(self, address: str, dispatcher: PeerDispatcher) -> PeerTransport:
+        """Sends messages to other gateways."""
+        return PeerChannels(address, dispatcher, NO_PEER_KEY)
+
+    def listen_for_peers(self, address: str, dispatcher: PeerDispatcher) -> Listener:
+        """Accepts messages of other gateways."""
+        application = Application([("/peer", PeerHandler, {"dispatcher": dispatcher})])
+        return _serve(application, address)
+
     def listen_for_readiness(self, address: str, ready: IsReady) -> Listener:
         """Answers the balancer."""
         application = Application(
             [(READINESS_PATH, _ReadinessHandler, {"ready": ready})],
             log_function=lambda handler: None,
         )
-        server = HTTPServer(application)
-        host, port = split_address(address)
-        server.listen(port, host)
-        return server
+        return _serve(application, address)
 
     def close(self) -> None:
         """Closes kept connections."""
@@ -100,6 +110,13 @@
             self._promotion_client.close()
 
 
+def _serve(application: Application, address: str) -> HTTPServer:
+    server = HTTPServer(application)
+    host, port = split_address(address)
+    server.listen(port, host)
+    return server
+
+
 class _ReadinessHandler(RequestHandler):
     """`GET /readiness`."""
 
--- a/src/wigeonpoint/process/gateway/_exchange.py
+++ b/src/wigeonpoint/process/gateway/_exchange.py
@@ -11,6 +11,7 @@
 from wigeonpoint.connection.session import CallerSession, MemberAnswer, MemberFault, MemberLink
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
+from wigeonpoint.process.gateway._primary_guard import PrimaryGuard
 from wigeonpoint.request.session import SessionStatement, TransactionState, Verb
 
 LATE_FLOOR_S = 0.04
@@ -42,12 +43,14 @@
         link: MemberLink,
         session: CallerSession,
         statement: SessionStatement,
+        guard: PrimaryGuard,
     ) -> None:
         self._group = group
         self._pool = pool
         self._link = link
         self._session = session
         self._statement = statement
+        self._guard = guard
         self.sent = False
 
     @property
@@ -123,8 +126,15 @@
         self._link.forget_prepared(answer)
         self._pool.health.note_answer()
         self._pool.latency.record(now - begun_at)
-        if self._link.state is not TransactionState.FAILED:
-            self._group.note_answer(self._pool.record.id, answer.position, begun_at=begun_at)
+        if self._link.state is TransactionState.FAILED:
+            return
+        member_id = self._pool.record.id
+        # Without evidence of its lead, a primary's position says nothing about other commits.
+        if member_id == self._group.primary_id and not self._guard.may_answer(
+            self._group.name, member_id
+        ):
+            return
+        self._group.note_answer(member_id, answer.position, begun_at=begun_at)
 
 
 def _checked(answer: MemberAnswer, after: LogPosition | None) -> MemberAnswer:
--- a/src/wigeonpoint/process/gateway/_executor.py
+++ b/src/wigeonpoint/process/gateway/_executor.py
@@ -13,6 +13,7 @@
     MemberAnswer,
     MemberConnectionLost,
     MemberFault,
+    MemberLink,
 )
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.events import Event, log_event
@@ -35,6 +36,7 @@
 # A caller is told to come back before a quarter of its objective is spent on waiting in vain.
 WAIT_SHARE = 0.2
 PRIMARY_CHECK_S = 0.02
+SHORTEST_WAIT_S = 0.001
 ABANDONED_LIFE_S = 2.0  # after this an answer is taken for lost, and its link is closed
 
 
@@ -129,7 +131,11 @@
             deadline=work.deadline,
             session=work.session.number,
         )
-        return Exchange(work.group, pool, link, work.session, work.statement)
+        return self.exchange(work, pool, link)
+
+    def exchange(self, work: Work, pool: MemberPool, link: MemberLink) -> Exchange:
+        """An exchange of a statement on a link."""
+        return Exchange(work.group, pool, link, work.session, work.statement, self._guard)
 
     async def primary(self, work: Work) -> MemberPool:
         """Waits a little for a primary that may be used.
@@ -152,7 +158,7 @@
             if pool is not None:
                 pool.probe()
             remaining = give_up - loop.time()
-            if remaining <= 0:
+            if remaining < SHORTEST_WAIT_S:
                 raise NotRun(
                     ResultCode.NO_PRIMARY,
                     f"group {work.group.name} has no primary that may be used",
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 
-from wigeonpoint.connection import PeerChannels, PeerDispatcher
+from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._executor import StatementExecutor
 from wigeonpoint.process.gateway._platform import GatewayPlatform, Listener
@@ -25,13 +25,10 @@
     MemberControl,
     MemberEvidence,
     evidence_age_s,
-    listen_for_peers,
 )
 from wigeonpoint.version.catalogue import RegisteredInstance
 
 UPKEEP_S = 0.25
-# Peers reach each other only on the platform's own network, so there is no secret to present.
-NO_PEER_KEY = ""
 
 
 def elapsed_s() -> float:
@@ -58,7 +55,7 @@
         self._listeners: list[Listener] = []
         self._upkeep: asyncio.Task[None] | None = None
         self._dispatcher = PeerDispatcher()
-        self._transport = PeerChannels(settings.peer_address, self._dispatcher, NO_PEER_KEY)
+        self._transport = platform.peer_transport(settings.peer_address, self._dispatcher)
         self.view = PlatformView(platform, settings.data_centre)
         member_evidence = MemberEvidence(
             MemberControl(platform.connector), lambda: self.view.groups, clock
@@ -98,7 +95,7 @@
         self._listeners = [
             self._platform.listen_for_callers(settings.caller_address, self.sessions.serve),
             self._platform.listen_for_readiness(settings.readiness_address, lambda: self.ready),
-            listen_for_peers(settings.peer_address, self._dispatcher),
+            self._platform.listen_for_peers(settings.peer_address, self._dispatcher),
         ]
         log_event(Event.INSTANCE_STARTED, address=settings.caller_address)
 
@@ -141,6 +138,7 @@
             address=settings.peer_address,
             data_centre=settings.data_centre,
             on_lost=self.view.probe_data_centre,
+            on_unreachable=self.view.probe_primary,
         )
         peers.register(self._dispatcher)
         return peers
--- a/src/wigeonpoint/process/gateway/_platform.py
+++ b/src/wigeonpoint/process/gateway/_platform.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from wigeonpoint.connection import PeerDispatcher, PeerTransport
 from wigeonpoint.connection.session import CallerConnection, MemberConnector
 from wigeonpoint.services import Promoter, RowStore, VersionedRow
 from wigeonpoint.version.catalogue import Catalogue, MemberRecord
@@ -76,6 +77,14 @@
         """Answers the balancer's question whether to send callers."""
         ...
 
+    def peer_transport(self, address: str, dispatcher: PeerDispatcher) -> PeerTransport:
+        """Sends messages to other gateways, and those to the own address to the dispatcher."""
+        ...
+
+    def listen_for_peers(self, address: str, dispatcher: PeerDispatcher) -> Listener:
+        """Accepts messages of other gateways."""
+        ...
+
     def close(self) -> None:
         """Closes kept connections."""
         ...
--- a/src/wigeonpoint/process/gateway/_session_service.py
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import traceback
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -94,6 +95,8 @@
                 await self._serve_session(connection, session)
         except CallerGone:
             pass
+        except Exception as error:  # a fault in one session must not end the others unseen
+            log_event(Event.INTERNAL_ERROR, error=repr(error), trace=traceback.format_exc())
         finally:
             if session is not None:
                 self._sessions.pop(session, None)
--- a/src/wigeonpoint/process/gateway/_transactions.py
+++ b/src/wigeonpoint/process/gateway/_transactions.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wigeonpoint.backend import LogPosition
 from wigeonpoint.connection.session import (
@@ -105,7 +105,7 @@
         if link is None:
             return await self._bind(work, transaction)
         binding = self._bindings[link]
-        return Exchange(binding.group, binding.pool, link, work.session, work.statement)
+        return self._executor.exchange(replace(work, group=binding.group), binding.pool, link)
 
     async def _bind(self, work: Work, transaction: SessionTransaction) -> Exchange | Reply:
         """Begins the transaction at a member; a refusal may be retried, as nothing has run yet."""
--- a/src/wigeonpoint/process/gateway/_view.py
+++ b/src/wigeonpoint/process/gateway/_view.py
@@ -72,6 +72,12 @@
                 if pool.record.data_centre == data_centre:
                     pool.note_late()
 
+    def probe_primary(self, group: str) -> None:
+        """Tries to connect to a primary that a peer does not reach; without traffic none shows."""
+        known = self._groups.get(group)
+        if known is not None and known.primary is not None:
+            known.primary.note_late()
+
     def start(self) -> None:
         """Starts to follow the tables."""
         self.operators.start()
--- a/src/wigeonpoint/process/gateway/control/__init__.py
+++ b/src/wigeonpoint/process/gateway/control/__init__.py
@@ -6,7 +6,6 @@
 from wigeonpoint.process.gateway.control._control_state import ControlState
 from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S, Clock, Evidence
 from wigeonpoint.process.gateway.control._failover import Failover
-from wigeonpoint.process.gateway.control._listener import listen_for_peers
 from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._member_evidence import MemberEvidence, vouched
 from wigeonpoint.process.gateway.control._messages import GatewayState
@@ -37,7 +36,6 @@
     "choose_candidate",
     "choose_coordinator",
     "evidence_age_s",
-    "listen_for_peers",
     "replacement_reason",
     "vouched",
 ]
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -200,17 +200,20 @@
             log_event(Event.PROMOTION_FAILED, group=name, reason=repr(task.exception()))
 
     async def _replace(self, name: str, group: Group, reason: ReplacementReason | None) -> None:
-        replaced = group.primary
+        known = self._control.leadership(name)
+        claimed = known if known and known.phase is LeadershipPhase.CLAIMED else None
+        replaced_id = claimed.primary if claimed else group.primary_id
+        replaced = group.pool(replaced_id or "")
         replaced_record = replaced.record if replaced is not None else None
         planned = reason is ReplacementReason.LEAVING
         log_event(
             Event.REPLACEMENT_STARTED,
             group=name,
             reason=reason.name.lower() if reason else "taken over",
-            primary=replaced_record.id if replaced_record else None,
+            primary=replaced_id,
             unreachable_ms=int(replaced.health.failed_for_s * 1000) if replaced else None,
         )
-        candidate = await self._choose(group, replaced_record)
+        candidate = await self._choose(group, replaced_id, claimed)
         if candidate is None:
             log_event(Event.PROMOTION_FAILED, group=name, reason="no replica answers")
             return
@@ -223,13 +226,21 @@
         except (Superseded, ConditionFailed, StoreUnavailable) as error:
             log_event(Event.PROMOTION_FAILED, group=name, reason=str(error) or "superseded")
 
-    async def _choose(self, group: Group, replaced: MemberRecord | None) -> MemberRecord | None:
-        records = [
-            pool.record for pool in group.pools if replaced is None or pool.record.id != replaced.id
-        ]
+    async def _choose(
+        self, group: Group, replaced: str | None, claimed: Leadership | None
+    ) -> MemberRecord | None:
+        """Chooses the member to promote.
+
+        The candidate of an unfinished claim stays, because its promotion may have been called for
+        and takes effect later; and the replaced primary is no candidate for the same reason.
+        """
+        records = [pool.record for pool in group.pools if pool.record.id != replaced]
         reports = await self._members.reports(records)
-        leaving = [record.id for record in records if record.leaving]
-        chosen = choose_candidate(reports, leaving=leaving)
+        if claimed is not None and reports.get(claimed.candidate or "") is not None:
+            chosen = claimed.candidate
+        else:
+            leaving = [record.id for record in records if record.leaving]
+            chosen = choose_candidate(reports, leaving=leaving)
         return next((record for record in records if record.id == chosen), None)
 
     async def _claim(self, name: str, candidate: MemberRecord, *, planned: bool) -> _Claim:
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -46,6 +46,7 @@
         address: Address of this instance.
         data_centre: Its data centre.
         on_lost: Called with the data centre of a peer that stops answering.
+        on_unreachable: Called with a group whose primary a peer does not reach.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         address: str,
         data_centre: str,
         on_lost: Callable[[str], None],
+        on_unreachable: Callable[[str], None],
     ) -> None:
         self._control = control
         self._transport = transport
@@ -67,6 +69,7 @@
         self._seeds = [seed for seed in seeds if seed != address]
         self._address = address
         self._on_lost = on_lost
+        self._on_unreachable = on_unreachable
         self._ping = GatewayPing(control.name, address, data_centre)
         self._pingers: dict[str, asyncio.Task[None]] = {}
         self._states: dict[str, tuple[float, GatewayState]] = {}
@@ -177,6 +180,8 @@
 
     def _note(self, state: GatewayState, asked_at: float) -> None:
         self._states[state.name] = (asked_at, state)
+        for group in state.unreachable:
+            self._on_unreachable(group)
         if not state.knows_sender:
             return  # its claims would not wait for this instance
         self._control.evidence.note_peer(
--- /dev/null
+++ b/tests/gateway/_members.py
@@ -0,0 +1,390 @@
+"""A model of members of database groups: logs, replication with a lag, terms and transactions."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from tests.fakes import FakeNetwork
+from wigeonpoint.backend import LogPosition, MemberRole
+from wigeonpoint.connection.session import (
+    MemberAnswer,
+    MemberConnectionLost,
+    MemberFault,
+    MemberRefused,
+    MemberReport,
+    MemberUnreachable,
+)
+from wigeonpoint.request.session import (
+    PreparedStatement,
+    SessionStatement,
+    TransactionState,
+    Verb,
+)
+from wigeonpoint.version.catalogue import MemberRecord
+
+NO_POSITION = LogPosition(1, 0)
+
+
+@dataclass(slots=True)
+class Entry:
+    """A commit in a log."""
+
+    position: LogPosition
+    item: str
+    value: str
+    statement_id: str
+
+
+@dataclass(slots=True)
+class ModelMember:
+    """One member.
+
+    Attributes:
+        record: How it registers itself.
+        log: What it has received.
+        lag_s: Seconds from receiving an entry to applying it.
+        work_s: Seconds that a statement takes.
+        lose_answers: Answers of the next statements to lose after running them.
+        refuse_busy: Next statements to refuse without running them.
+        runs: Every statement that it ran: id, text, session values.
+    """
+
+    record: MemberRecord
+    term: int = 1
+    held_term: int = 1
+    role: MemberRole = MemberRole.REPLICA
+    log: list[Entry] = field(default_factory=list)
+    received_at: list[float] = field(default_factory=list)
+    lag_s: float = 0.02
+    work_s: float = 0.002
+    connection_limit: int = 16
+    connections: int = 0
+    peak_connections: int = 0
+    lose_answers: int = 0
+    refuse_busy: int = 0
+    compares_numbers_only: bool = False
+    running: bool = True
+    runs: list[tuple[str, str, dict[str, str]]] = field(default_factory=list)
+
+    @property
+    def position(self) -> LogPosition:
+        """End of the log that it has applied."""
+        now = asyncio.get_running_loop().time()
+        lag = 0.0 if self.role is MemberRole.PRIMARY else self.lag_s
+        applied = [
+            entry.position
+            for entry, at in zip(self.log, self.received_at, strict=True)
+            if now - at >= lag
+        ]
+        return applied[-1] if applied else NO_POSITION
+
+    @property
+    def received(self) -> LogPosition:
+        """End of the log that it has received."""
+        return self.log[-1].position if self.log else NO_POSITION
+
+    def lacks(self, after: LogPosition) -> bool:
+        """Whether it refuses a read that requires a position."""
+        if self.compares_numbers_only:
+            return self.position.position < after.position
+        return self.position < after
+
+    def receive(self, entry: Entry) -> None:
+        """Appends an entry of the primary."""
+        self.log.append(entry)
+        self.received_at.append(asyncio.get_running_loop().time())
+
+    def value(self, item: str) -> str | None:
+        """Newest applied value of an item."""
+        position = self.position
+        values = [e.value for e in self.log if e.item == item and e.position <= position]
+        return values[-1] if values else None
+
+
+class ModelGroup:
+    """A group of members whose primary sends its log to the replicas that it reaches."""
+
+    def __init__(self, name: str, network: FakeNetwork) -> None:
+        self.name = name
+        self.network = network
+        self.members: dict[str, ModelMember] = {}
+        self.promote_s = 0.3
+        self.commits_after_replacement: list[str] = []
+        self._suspended: set[str] = set()
+
+    def add(self, member_id: str, data_centre: str, *, primary: bool = False) -> ModelMember:
+        """Adds a member."""
+        address = f"{member_id}:1"
+        self.network.data_centres[address] = data_centre
+        role = MemberRole.PRIMARY if primary else MemberRole.REPLICA
+        record = MemberRecord(member_id, self.name, address, data_centre, role=role, slots=2)
+        member = ModelMember(record, role=role)
+        self.members[member_id] = member
+        return member
+
+    @property
+    def term(self) -> int:
+        """Newest term of any member."""
+        return max(member.term for member in self.members.values())
+
+    def leader(self) -> ModelMember:
+        """The primary of the newest term."""
+        leaders = [m for m in self.members.values() if m.role is MemberRole.PRIMARY]
+        return max(leaders, key=lambda member: member.term)
+
+    def commit(self, member: ModelMember, statement_id: str, item: str, value: str) -> None:
+        """Commits a write at a member that takes itself for the primary."""
+        if member is not self.leader():
+            self.commits_after_replacement.append(statement_id)
+        number = member.received.position + 1
+        entry = Entry(LogPosition(member.term, number), item, value, statement_id)
+        member.receive(entry)
+        own = member.record.data_centre
+        for other in self.members.values():
+            if other is member or other.term > member.term or other.held_term > member.term:
+                continue
+            if other.record.id in self._suspended or not other.running:
+                continue
+            if self.network.reachable(own, other.record.address):
+                self._send(member, other)
+
+    def _send(self, member: ModelMember, other: ModelMember) -> None:
+        other.term = member.term
+        known = {entry.position for entry in other.log}
+        for entry in member.log:
+            if entry.position not in known:
+                other.receive(entry)
+
+    def suspend(self, member: ModelMember, term: int) -> None:
+        """Stops a replica from following lower terms."""
+        if term > member.held_term:
+            member.held_term = term
+            self._suspended.add(member.record.id)
+
+    def resume(self, member: ModelMember) -> None:
+        """Ends a suspension."""
+        self._suspended.discard(member.record.id)
+
+    async def promote(self, member_id: str) -> bool:
+        """Makes a member the primary after some time; False when it does not run."""
+        member = self.members[member_id]
+        if not member.running or member.record.address in self.network.down:
+            return False
+        asyncio.get_running_loop().call_later(self.promote_s, self._lead, member)
+        return True
+
+    def _lead(self, member: ModelMember) -> None:
+        member.term = member.held_term = max(self.term, member.held_term) + 1
+        member.role = MemberRole.PRIMARY
+        self._suspended.clear()
+        for other in self.members.values():
+            if other is not member and other.role is MemberRole.REPLICA:
+                other.log = list(member.log)
+                other.received_at = [0.0] * len(other.log)
+                other.term = other.held_term = member.term
+
+    def demote(self, member: ModelMember, term: int) -> None:
+        """Makes a primary of a lower term a replica of the leader."""
+        if member.role is MemberRole.PRIMARY and member.term < term:
+            leader = self.leader()
+            member.role = MemberRole.REPLICA
+            member.log = list(leader.log)
+            member.received_at = [0.0] * len(member.log)
+            member.term = member.held_term = leader.term
+
+
+class ModelConnection:
+    """A connection from one data centre to a member."""
+
+    def __init__(self, group: ModelGroup, member: ModelMember, data_centre: str) -> None:
+        self._group = group
+        self._member = member
+        self._data_centre = data_centre
+        self._closed = False
+        self._state = TransactionState.IDLE
+        self._read_only = False
+        self._writes: list[tuple[str, str, str]] = []
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, PreparedStatement] = {}
+
+    @property
+    def closed(self) -> bool:
+        """Whether it has ended; the end of a member resets its connections."""
+        return self._closed or not self._member.running
+
+    async def run(
+        self,
+        statement: SessionStatement,
+        *,
+        after: LogPosition | None = None,
+        prepared_name: str | None = None,
+    ) -> MemberAnswer:
+        """Runs a statement."""
+        await self._travel()
+        member = self._member
+        if member.refuse_busy > 0:
+            member.refuse_busy -= 1
+            return await self._answer(fault=MemberFault.BUSY)
+        if after is not None and member.lacks(after):
+            return await self._answer(fault=MemberFault.BEHIND)
+        await asyncio.sleep(member.work_s)
+        member.runs.append((statement.id, statement.text, dict(self._values)))
+        answer = self._execute(statement, prepared_name)
+        if member.lose_answers > 0:
+            member.lose_answers -= 1
+            await asyncio.sleep(3600)
+        return await self._answer(**answer)
+
+    async def begin(self, *, read_only: bool, after: LogPosition | None = None) -> MemberAnswer:
+        """Begins a transaction."""
+        await self._travel()
+        if after is not None and self._member.lacks(after):
+            return await self._answer(fault=MemberFault.BEHIND)
+        if not read_only and self._member.role is MemberRole.REPLICA:
+            return await self._answer(fault=MemberFault.NOT_PRIMARY)
+        self._state, self._read_only, self._writes = TransactionState.OPEN, read_only, []
+        return await self._answer()
+
+    async def rollback(self) -> MemberAnswer:
+        """Rolls back."""
+        await self._travel()
+        self._state, self._writes = TransactionState.IDLE, []
+        return await self._answer()
+
+    async def set_value(self, name: str, value: str) -> MemberAnswer:
+        """Sets a value."""
+        await self._travel()
+        self._values[name] = value
+        return await self._answer()
+
+    async def prepare(self, name: str, prepared: PreparedStatement) -> MemberAnswer:
+        """Prepares a statement."""
+        await self._travel()
+        self._prepared[name] = prepared
+        return await self._answer()
+
+    async def reset(self) -> MemberAnswer:
+        """Clears values and prepared statements."""
+        await self._travel()
+        self._values.clear()
+        self._prepared.clear()
+        return await self._answer()
+
+    async def report(self) -> MemberReport | None:
+        """Reports its state."""
+        await self._travel()
+        member = self._member
+        return MemberReport(
+            role=member.role,
+            term=member.term,
+            received=member.received,
+            held_term=member.held_term,
+            lag_s=member.lag_s,
+            busy=0,
+            connections=member.connections,
+        )
+
+    async def suspend(self, term: int) -> MemberReport | None:
+        """Suspends the member."""
+        await self._travel()
+        self._group.suspend(self._member, term)
+        return await self.report()
+
+    async def resume(self) -> MemberReport | None:
+        """Ends the suspension."""
+        await self._travel()
+        self._group.resume(self._member)
+        return await self.report()
+
+    async def demote(self, term: int) -> MemberReport | None:
+        """Demotes the member."""
+        await self._travel()
+        self._group.demote(self._member, term)
+        return await self.report()
+
+    def close(self) -> None:
+        """Closes the connection."""
+        if not self._closed:
+            self._closed = True
+            self._member.connections -= 1
+
+    def _execute(self, statement: SessionStatement, prepared_name: str | None) -> dict[str, object]:
+        member = self._member
+        proof = f"{member.record.id}.{statement.id}"
+        if statement.verb is Verb.READ:
+            value = member.value(statement.name)
+            return {"rows": [value or ""], "proof": proof}
+        if statement.verb is Verb.EXECUTE:
+            prepared = self._prepared.get(prepared_name or "")
+            if prepared is None:
+                return {"fault": MemberFault.UNKNOWN_STATEMENT}
+            return {"rows": [prepared.shape], "proof": proof}
+        if statement.verb is Verb.WRITE:
+            if member.role is MemberRole.REPLICA:
+                return {"fault": MemberFault.NOT_PRIMARY}
+            self._write(statement)
+            return {"proof": proof}
+        if statement.verb is Verb.COMMIT:
+            if self._writes and member.role is MemberRole.REPLICA:
+                self._state = TransactionState.FAILED
+                return {"fault": MemberFault.NOT_PRIMARY}
+            for statement_id, item, value in self._writes:
+                self._group.commit(member, statement_id, item, value)
+            self._state, self._writes = TransactionState.IDLE, []
+            return {"proof": proof}
+        return {"fault": MemberFault.MALFORMED}
+
+    def _write(self, statement: SessionStatement) -> None:
+        if self._state is TransactionState.OPEN:
+            self._writes.append((statement.id, statement.name, statement.argument))
+        else:
+            self._group.commit(self._member, statement.id, statement.name, statement.argument)
+
+    async def _answer(self, **fields: object) -> MemberAnswer:
+        if self._state is TransactionState.OPEN and fields.get("fault") is not None:
+            self._state = TransactionState.FAILED
+        position, state = self._member.position, self._state
+        await self._travel()
+        return MemberAnswer(state, position, **fields)  # type: ignore[arg-type]
+
+    async def _travel(self) -> None:
+        """Waits one way; a cut or a dark member keeps the statement waiting for good."""
+        await asyncio.sleep(0.0005)
+        network = self._group.network
+        if self._closed or not self._member.running:
+            self.close()
+            raise MemberConnectionLost("the connection is closed")
+        try:
+            while not network.reachable(self._data_centre, self._member.record.address):
+                await asyncio.sleep(0.01)
+                if self._closed:
+                    raise MemberConnectionLost("the connection was closed")
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+
+class ModelConnector:
+    """Opens connections from one data centre."""
+
+    def __init__(self, groups: dict[str, ModelGroup], data_centre: str) -> None:
+        self._groups = groups
+        self._data_centre = data_centre
+
+    async def connect(self, record: MemberRecord, *, timeout: float) -> ModelConnection:
+        """Connects to a member."""
+        group = self._groups[record.service]
+        member = group.members.get(record.id)
+        if member is None or not member.running:
+            await asyncio.sleep(0.001)
+            raise MemberUnreachable("connection refused")
+        if not group.network.reachable(self._data_centre, record.address):
+            await asyncio.sleep(0.15)
+            raise MemberUnreachable("no answer in time")
+        if member.connections >= member.connection_limit:
+            raise MemberRefused(MemberFault.TOO_MANY_CONNECTIONS)
+        member.connections += 1
+        member.peak_connections = max(member.peak_connections, member.connections)
+        await asyncio.sleep(0.012)
+        return ModelConnection(group, member, self._data_centre)
--- /dev/null
+++ b/tests/gateway/_platform.py
@@ -0,0 +1,272 @@
+"""A model of the platform's store and promotion call, as gateways of one data centre reach them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+
+from tests.fakes import FakeNetwork, FakeTransport
+from tests.gateway._members import ModelConnector, ModelGroup
+from wigeonpoint.backend import MemberRole
+from wigeonpoint.connection import PeerDispatcher
+from wigeonpoint.errors import ConditionFailed, StoreUnavailable
+from wigeonpoint.process.gateway import IsReady, ServeCaller, TableNames
+from wigeonpoint.request import Rank
+from wigeonpoint.services import (
+    HistoryLost,
+    RowKey,
+    RowsRead,
+    RowTransaction,
+    VersionedRow,
+)
+from wigeonpoint.version.catalogue import (
+    Catalogue,
+    Consistency,
+    DatabaseRoute,
+    MemberRecord,
+    Service,
+)
+
+STORE = "store:1"
+NAMES = TableNames("operators", "catalogue", "members")
+CALL_S = 0.004
+UNREACHABLE_S = 0.3
+
+
+@dataclass(slots=True)
+class ModelStore:
+    """The store: rows, versions and a history of changes."""
+
+    rows: dict[RowKey, VersionedRow] = field(default_factory=dict)
+    history: list[VersionedRow] = field(default_factory=list)
+    version: int = 1
+    oldest: int = 0
+    down: bool = False
+    lose_answers: int = 0
+    calls: int = 0
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row as an operator or a member does."""
+        self._apply(RowTransaction(puts={RowKey(table, key): value}))
+
+    def drop(self, table: str, key: str) -> None:
+        """Deletes a row as a member's silence does."""
+        self._apply(RowTransaction(deletes=[RowKey(table, key)]))
+
+    def forget_history(self) -> None:
+        """Drops the history of changes."""
+        self.oldest = self.version
+        self._wake()
+
+    def commit(self, transaction: RowTransaction) -> int:
+        """Applies a conditional transaction."""
+        for key, version in transaction.expected.items():
+            row = self.rows.get(key)
+            if (row.version if row else 0) != version:
+                raise ConditionFailed("a row has another version")
+        return self._apply(transaction)
+
+    async def wait(self, timeout: float) -> None:
+        """Waits for a change."""
+        try:
+            await asyncio.wait_for(self._changed.wait(), timeout)
+        except TimeoutError:
+            return
+
+    def _apply(self, transaction: RowTransaction) -> int:
+        self.version += 1
+        for key, value in transaction.puts.items():
+            row = VersionedRow(key.table, key.key, value, self.version)
+            self.rows[key] = row
+            self.history.append(row)
+        for key in transaction.deletes:
+            if self.rows.pop(key, None) is not None:
+                self.history.append(
+                    VersionedRow(key.table, key.key, b"", self.version, deleted=True)
+                )
+        self._wake()
+        return self.version
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class StoreClient:
+    """Calls of the store from one data centre."""
+
+    def __init__(self, store: ModelStore, network: FakeNetwork, data_centre: str) -> None:
+        self._store = store
+        self._network = network
+        self._data_centre = data_centre
+        self.cut_off = False
+
+    async def read(self, table: str) -> RowsRead:
+        """Reads a table."""
+        await self._call()
+        rows = [row for row in self._store.rows.values() if row.table == table]
+        return RowsRead(rows, self._store.version)
+
+    async def changes(self, table: str, *, after: int, wait_s: float) -> RowsRead:
+        """Waits for changes."""
+        await self._call()
+        end = asyncio.get_running_loop().time() + wait_s
+        while True:
+            if after < self._store.oldest:
+                raise HistoryLost
+            rows = [
+                row for row in self._store.history if row.table == table and row.version > after
+            ]
+            remaining = end - asyncio.get_running_loop().time()
+            if rows or remaining < 0.001:
+                self._check()
+                return RowsRead(rows, self._store.version)
+            await self._store.wait(min(remaining, 0.05))
+            self._check()
+
+    async def commit(self, transaction: RowTransaction) -> int:
+        """Applies a transaction; its answer may be lost."""
+        await self._call()
+        version = self._store.commit(transaction)
+        if self._store.lose_answers > 0:
+            self._store.lose_answers -= 1
+            raise StoreUnavailable("the answer was lost")
+        return version
+
+    async def _call(self) -> None:
+        self._store.calls += 1
+        if not self._reachable():
+            await asyncio.sleep(UNREACHABLE_S)
+        else:
+            await asyncio.sleep(CALL_S)
+        self._check()
+
+    def _check(self) -> None:
+        if not self._reachable():
+            raise StoreUnavailable("the store does not answer")
+
+    def _reachable(self) -> bool:
+        reachable = self._network.reachable(self._data_centre, STORE)
+        return reachable and not self._store.down and not self.cut_off
+
+
+@dataclass(slots=True)
+class PromotionCall:
+    """One call for a promotion."""
+
+    service: str
+    member_id: str
+    holder: str
+    token: int
+
+
+class ModelPromoter:
+    """The promotion call."""
+
+    def __init__(self, groups: dict[str, ModelGroup], calls: list[PromotionCall]) -> None:
+        self._groups = groups
+        self._calls = calls
+
+    async def promote(self, service: str, member_id: str, *, holder: str, token: int) -> bool:
+        """Promotes a member."""
+        await asyncio.sleep(CALL_S)
+        self._calls.append(PromotionCall(service, member_id, holder, token))
+        return await self._groups[service].promote(member_id)
+
+
+class _Stoppable:
+    def stop(self) -> None:
+        """Nothing listens."""
+
+
+class ModelPlatform:
+    """The platform as one gateway sees it."""
+
+    def __init__(
+        self,
+        network: FakeNetwork,
+        store: StoreClient,
+        connector: ModelConnector,
+        promoter: ModelPromoter,
+    ) -> None:
+        self._network = network
+        self.store = store
+        self.connector = connector
+        self.promoter = promoter
+        self.serve: ServeCaller | None = None
+        self.ready: Callable[[], bool] = lambda: False
+        self._transport: FakeTransport | None = None
+
+    @property
+    def tables(self) -> TableNames:
+        """Names of the tables."""
+        return NAMES
+
+    def decode_catalogue(self, row: VersionedRow) -> Catalogue | None:
+        """Decodes the model's own encoding."""
+        return decode_catalogue(row)
+
+    def decode_member(self, row: VersionedRow) -> MemberRecord | None:
+        """Decodes the model's own encoding."""
+        fields = orjson.loads(row.value)
+        role = MemberRole(fields.pop("role"))
+        return MemberRecord(**fields, role=role)
+
+    def listen_for_callers(self, address: str, serve: ServeCaller) -> _Stoppable:
+        """Keeps the function that serves callers."""
+        self.serve = serve
+        return _Stoppable()
+
+    def listen_for_readiness(self, address: str, ready: IsReady) -> _Stoppable:
+        """Keeps the readiness."""
+        self.ready = ready
+        return _Stoppable()
+
+    def peer_transport(self, address: str, dispatcher: PeerDispatcher) -> FakeTransport:
+        """Sends over the fake network."""
+        return FakeTransport(self._network, address, dispatcher)
+
+    def listen_for_peers(self, address: str, dispatcher: PeerDispatcher) -> _Stoppable:
+        """Registers the handlers."""
+        self._network.dispatchers[address] = dispatcher
+        self._network.down.discard(address)
+        return _Stoppable()
+
+    def close(self) -> None:
+        """Keeps nothing open."""
+
+
+def encode_member(record: MemberRecord) -> bytes:
+    """Encodes a member's entry."""
+    fields: dict[str, Any] = {name: getattr(record, name) for name in record.__slots__}
+    return orjson.dumps(fields)
+
+
+def encode_catalogue(version: int, routes: dict[str, tuple[str, str]], **timeouts: float) -> bytes:
+    """Encodes routes by database name: service and consistency."""
+    return orjson.dumps({"version": version, "routes": routes, "timeouts": timeouts})
+
+
+def decode_catalogue(row: VersionedRow) -> Catalogue:
+    """Decodes what `encode_catalogue` made."""
+    fields = orjson.loads(row.value)
+    routes = {}
+    for database, (service, consistency) in fields["routes"].items():
+        kind = Consistency[consistency]
+        routes[database] = DatabaseRoute(
+            name=f"r-{database}",
+            database=database,
+            service=service,
+            consistency=kind,
+            rank=Rank.URGENT if kind is Consistency.CURRENT else Rank.STANDARD,
+            timeout_s=fields["timeouts"].get(database, 0.8),
+            target_s=0.1,
+            max_age_s=None if kind is Consistency.CURRENT else 1.5,
+        )
+    services = {service: Service(service) for service, _ in fields["routes"].values()}
+    return Catalogue(fields["version"], routes, services)
--- /dev/null
+++ b/tests/gateway/_world.py
@@ -0,0 +1,255 @@
+"""A deployment in one event loop: gateways, members, store and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from contextlib import suppress
+from dataclasses import dataclass, field, replace
+from types import TracebackType
+
+from tests.fakes import FakeNetwork
+from tests.gateway._members import ModelConnector, ModelGroup, ModelMember
+from tests.gateway._platform import (
+    NAMES,
+    STORE,
+    ModelPlatform,
+    ModelPromoter,
+    ModelStore,
+    PromotionCall,
+    StoreClient,
+    encode_catalogue,
+    encode_member,
+)
+from wigeonpoint.backend import MemberRole
+from wigeonpoint.connection.session import CallerGone, CallerMessage, EndSession, OpenSession
+from wigeonpoint.platform._lines import parse_statement
+from wigeonpoint.process.gateway import Gateway, GatewaySettings
+from wigeonpoint.request.session import Reply, TransactionState
+
+DATA_CENTRES = ("chur", "stgallen", "sargans")
+SERVICE = "signplan"
+ROUTES = {
+    "current": (SERVICE, "CURRENT"),
+    "session": (SERVICE, "SESSION"),
+    "aged": (SERVICE, "AGED"),
+}
+LISTING_S = 0.1  # members report a change of their state this often
+
+
+@dataclass(slots=True)
+class Result:
+    """What a caller got for one statement."""
+
+    reply: Reply
+    state: TransactionState
+    seconds: float
+
+    @property
+    def served(self) -> bool:
+        """Whether there was no refusal."""
+        return self.reply.refusal is None
+
+
+class Caller:
+    """One caller's connection."""
+
+    _ids = itertools.count(1)
+
+    def __init__(self) -> None:
+        self._inbox: asyncio.Queue[CallerMessage | None] = asyncio.Queue()
+        self._answers: asyncio.Queue[tuple[Reply, TransactionState] | None] = asyncio.Queue()
+        self.closed = False
+        self.rejected: Reply | None = None
+
+    async def receive(self) -> CallerMessage:
+        """Gives the gateway the next message."""
+        message = await self._inbox.get()
+        if message is None or self.closed:
+            raise CallerGone
+        return message
+
+    async def accept(self) -> None:
+        """The session is open."""
+        self._answers.put_nowait((Reply(), TransactionState.IDLE))
+
+    async def reply(self, reply: Reply, state: TransactionState) -> None:
+        """Takes an answer."""
+        if self.closed:
+            raise CallerGone
+        self._answers.put_nowait((reply, state))
+
+    async def reject(self, reply: Reply) -> None:
+        """Takes a refusal of the session."""
+        self.rejected = reply
+        self._answers.put_nowait(None)
+
+    def close(self) -> None:
+        """The gateway closes the connection."""
+        self.closed = True
+        self._inbox.put_nowait(None)
+        self._answers.put_nowait(None)
+
+    async def open(self, database: str) -> bool:
+        """Opens the session."""
+        self._inbox.put_nowait(OpenSession(database, "someone"))
+        return await self._answers.get() is not None
+
+    async def query(self, text: str, *, statement_id: str | None = None) -> Result:
+        """Sends a statement and waits for its answer."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        statement_id = statement_id or f"q{next(self._ids)}"
+        self._inbox.put_nowait(parse_statement(statement_id, text))
+        answer = await self._answers.get()
+        if answer is None:
+            raise CallerGone
+        return Result(*answer, seconds=loop.time() - began)
+
+    def end(self) -> None:
+        """Ends the session."""
+        self._inbox.put_nowait(EndSession())
+
+
+@dataclass(slots=True)
+class Node:
+    """A gateway with its platform."""
+
+    gateway: Gateway
+    platform: ModelPlatform
+    data_centre: str
+    tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+
+class World:
+    """Gateways in three data centres before one group with a member in each."""
+
+    def __init__(self) -> None:
+        self.network = FakeNetwork()
+        self.network.data_centres[STORE] = "platform"
+        self.store = ModelStore()
+        self.group = ModelGroup(SERVICE, self.network)
+        self.groups = {SERVICE: self.group}
+        self.calls: list[PromotionCall] = []
+        self.nodes: dict[str, Node] = {}
+        self._listing: asyncio.Task[None] | None = None
+        self.config_version = 1
+        for index, data_centre in enumerate(DATA_CENTRES):
+            self.group.add(f"m-{data_centre}", data_centre, primary=index == 0)
+
+    async def __aenter__(self) -> World:
+        """Starts members and gateways, and waits until all may use primaries."""
+        self.configure(ROUTES)
+        self._list_members()
+        self._listing = asyncio.create_task(self._keep_listing())
+        for data_centre in DATA_CENTRES:
+            self.start(f"g-{data_centre}", data_centre)
+        await asyncio.sleep(1.0)
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stops everything."""
+        if self._listing is not None:
+            self._listing.cancel()
+        for name in list(self.nodes):
+            self.kill(name)
+        await asyncio.sleep(0)
+
+    def configure(self, routes: dict[str, tuple[str, str]], **timeouts: float) -> None:
+        """Puts a version of the catalogue in force."""
+        self.config_version += 1
+        value = encode_catalogue(self.config_version, routes, **timeouts)
+        self.store.put(NAMES.operators, NAMES.catalogue_key, value)
+
+    def start(self, name: str, data_centre: str) -> Gateway:
+        """Starts a gateway."""
+        address = f"{name}:1"
+        self.network.data_centres[address] = data_centre
+        self.network.down.discard(address)
+        platform = ModelPlatform(
+            self.network,
+            StoreClient(self.store, self.network, data_centre),
+            ModelConnector(self.groups, data_centre),
+            ModelPromoter(self.groups, self.calls),
+        )
+        settings = GatewaySettings(
+            instance_id=name,
+            data_centre=data_centre,
+            caller_address="callers",
+            readiness_address="readiness",
+            peer_address=address,
+            seeds=tuple(f"g-{one}:1" for one in DATA_CENTRES),
+            store_address=STORE,
+            promotion_address="promotion",
+            grace_s=6.0,
+            leaving_s=7.0,
+        )
+        loop = asyncio.get_running_loop()
+        gateway = Gateway(settings, platform, clock=loop.time)
+        self.nodes[name] = Node(gateway, platform, data_centre)
+        gateway.start()
+        return gateway
+
+    def kill(self, name: str) -> None:
+        """Ends a gateway at once."""
+        node = self.nodes.pop(name)
+        self.network.down.add(f"{name}:1")
+        node.gateway.stop()
+        for task in node.tasks:
+            task.cancel()
+
+    async def caller(self, name: str, database: str) -> Caller:
+        """Opens a session at a gateway."""
+        caller = Caller()
+        node = self.nodes[name]
+        assert node.platform.serve is not None
+        task = asyncio.ensure_future(node.platform.serve(caller))
+        node.tasks.add(task)
+        assert await caller.open(database)
+        return caller
+
+    def member(self, data_centre: str) -> ModelMember:
+        """The member of a data centre."""
+        return self.group.members[f"m-{data_centre}"]
+
+    def isolate(self, data_centre: str) -> None:
+        """Cuts a data centre off from the others and from the platform."""
+        for other in (*DATA_CENTRES, "platform"):
+            if other != data_centre:
+                self.network.cut(data_centre, other)
+
+    def leave(self, member: ModelMember) -> None:
+        """Has a member announce its end."""
+        member.record = replace(member.record, leaving=True)
+
+    async def write_until_served(
+        self, caller: Caller, text: str, *, within_s: float
+    ) -> tuple[Result, float]:
+        """Repeats a write until it is served; gives the seconds that this took."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while True:
+            result = await caller.query(text)
+            if result.served or loop.time() - began > within_s:
+                return result, loop.time() - began
+            await asyncio.sleep(0.02)
+
+    async def _keep_listing(self) -> None:
+        with suppress(asyncio.CancelledError):
+            while True:
+                await asyncio.sleep(LISTING_S)
+                if not self.store.down:
+                    self._list_members()
+
+    def _list_members(self) -> None:
+        for member in self.group.members.values():
+            record = replace(member.record, role=MemberRole(member.role))
+            value = encode_member(record)
+            key = next((k for k in self.store.rows if k.key == record.id), None)
+            if member.running and (key is None or self.store.rows[key].value != value):
+                self.store.put(NAMES.members, record.id, value)
--- /dev/null
+++ b/tests/gateway/test_failover.py
@@ -0,0 +1,316 @@
+"""Changes of primary: planned, after a crash, behind a cut, and without the store."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+import pytest
+
+from tests.gateway._world import Caller, World
+from wigeonpoint.connection.session import CallerGone
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+# The promotion itself takes 0.3 s in the model; the rest is noticing, claiming and spreading.
+CRASH_GAP_S = 0.3 + 0.7
+UNCONFIRMED_GAP_S = 0.3 + 2.2
+
+
+def acknowledged(world: World, values: list[str]) -> None:
+    """Checks that each acknowledged value is in the leader's log exactly once."""
+    log = [entry.value for entry in world.group.leader().log]
+    assert [value for value in log if value in values] == values
+
+
+async def write_values(caller: Caller, count: int) -> list[str]:
+    """Writes distinct values."""
+    values = []
+    for number in range(count):
+        value = f"v{number}"
+        assert (await caller.query(f"WRITE a {value}")).served
+        values.append(value)
+    await asyncio.sleep(0.05)
+    return values
+
+
+class TestCrash:
+    """A primary that ends without a word."""
+
+    async def test_writes_go_on_at_a_replica(self) -> None:
+        """Guards against a group without a primary, and against lost acknowledged writes."""
+        async with World() as world:
+            caller = await world.caller("g-stgallen", "current")
+            values = await write_values(caller, 5)
+            world.member("chur").running = False
+            result, gap = await world.write_until_served(caller, "WRITE a after", within_s=5.0)
+            assert result.served
+            assert gap <= CRASH_GAP_S
+            acknowledged(world, values)
+            assert len(world.calls) == 1
+
+    async def test_reads_go_on_at_replicas_meanwhile(self) -> None:
+        """Guards against reads that wait for a lost primary although a replica is near."""
+        async with World() as world:
+            caller = await world.caller("g-stgallen", "current")
+            await write_values(caller, 5)
+            reader = await world.caller("g-stgallen", "aged")
+            world.member("chur").running = False
+            for _ in range(10):
+                assert (await reader.query("READ a")).served
+                await asyncio.sleep(0.05)
+
+    async def test_longest_log_is_promoted(self) -> None:
+        """Guards against a promotion that cuts back what another replica had received."""
+        async with World() as world:
+            caller = await world.caller("g-chur", "current")
+            world.network.cut("chur", "stgallen")
+            result = await caller.query("WRITE a only-in-sargans")
+            assert result.served
+            world.network.heal()
+            world.member("chur").running = False
+            await world.write_until_served(caller, "WRITE a after", within_s=5.0)
+            assert world.group.leader().record.id == "m-sargans"
+
+    async def test_holder_that_dies_half_way_is_replaced_with_a_higher_token(self) -> None:
+        """Guards against a claim that nobody completes, and against a token that is used twice."""
+        async with World() as world:
+            caller = await world.caller("g-sargans", "current")
+            world.member("chur").running = False
+            while not world.calls:
+                assert (await caller.query("WRITE a x")).reply.refusal is not None
+                await asyncio.sleep(0.01)
+            world.group.promote_s = 10.0
+            world.kill(world.calls[0].holder)
+            world.group.promote_s = 0.3
+            result, _ = await world.write_until_served(caller, "WRITE a after", within_s=12.0)
+            assert result.served
+            tokens = [call.token for call in world.calls]
+            assert tokens == sorted(tokens)
+            holders = {call.token: call.holder for call in world.calls}
+            assert all(holders[call.token] == call.holder for call in world.calls)
+
+    async def test_taken_over_claim_keeps_its_candidate(self) -> None:
+        """Guards against a second primary when the first call takes effect after a takeover."""
+        async with World() as world:
+            world.group.promote_s = 2.5
+            caller = await world.caller("g-sargans", "current")
+            world.leave(world.member("chur"))
+            while not world.calls:
+                await caller.query("WRITE a x")
+                await asyncio.sleep(0.01)
+            world.kill(world.calls[0].holder)
+            other = next(iter(world.nodes))
+            caller = await world.caller(other, "current")
+            result, _ = await world.write_until_served(caller, "WRITE a after", within_s=12.0)
+            assert result.served
+            assert len({call.member_id for call in world.calls}) == 1
+            assert world.group.commits_after_replacement == []
+
+
+class TestPlanned:
+    """A primary that announces its end."""
+
+    async def test_no_acknowledged_write_is_lost_and_none_commits_late(self) -> None:
+        """Guards against writes at a primary that has already been replaced."""
+        async with World() as world:
+            callers = [await world.caller(f"g-{dc}", "current") for dc in ("chur", "sargans")]
+            served: list[str] = []
+
+            async def write_all(caller: Caller, name: str) -> None:
+                for number in range(60):
+                    value = f"{name}{number}"
+                    if (await caller.query(f"WRITE a {value}", statement_id=value)).served:
+                        served.append(value)
+                    await asyncio.sleep(0.03)
+
+            writers = [
+                asyncio.create_task(write_all(caller, name))
+                for caller, name in zip(callers, "xy", strict=True)
+            ]
+            await asyncio.sleep(0.3)
+            world.leave(world.member("chur"))
+            await asyncio.gather(*writers)
+            log = [entry.value for entry in world.group.leader().log]
+            assert world.group.leader().record.id != "m-chur"
+            assert sorted(log) == sorted(set(log))
+            assert set(served) <= set(log)
+            assert not set(world.group.commits_after_replacement) & set(served)
+
+    async def test_leaving_replica_changes_nothing(self) -> None:
+        """Guards against a promotion that nobody needs."""
+        async with World() as world:
+            world.leave(world.member("sargans"))
+            await asyncio.sleep(2.0)
+            assert world.calls == []
+
+
+class TestCut:
+    """A data centre that is cut off with the primary in it."""
+
+    async def test_both_sides_never_acknowledge_writes_of_two_primaries(self) -> None:
+        """Guards against a replaced primary that goes on acknowledging behind a cut."""
+        async with World() as world:
+            inside = await world.caller("g-chur", "current")
+            outside = await world.caller("g-sargans", "current")
+            await write_values(outside, 3)
+            world.isolate("chur")
+            served_inside: list[tuple[float, str]] = []
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            promoted_at = None
+            while loop.time() - began < 4.0:
+                if not inside.closed:  # it is sent away after a while
+                    with suppress(CallerGone):
+                        result = await inside.query("WRITE b inside")
+                        if result.served:
+                            served_inside.append((loop.time(), "inside"))
+                if promoted_at is None and world.group.leader().record.id != "m-chur":
+                    promoted_at = loop.time()
+                await asyncio.sleep(0.02)
+            assert promoted_at is not None
+            assert all(at <= promoted_at for at, _ in served_inside)
+            assert world.group.commits_after_replacement == []
+            result, _ = await world.write_until_served(outside, "WRITE a after", within_s=1.0)
+            assert result.served
+            assert loop.time() - began >= UNCONFIRMED_GAP_S - 2.2
+
+    async def test_isolated_gateway_turns_the_balancer_away_and_returns(self) -> None:
+        """Guards against callers that stay where nothing current can be served."""
+        async with World() as world:
+            gateway = world.nodes["g-chur"].gateway
+            assert gateway.ready
+            world.isolate("chur")
+            await asyncio.sleep(1.0)
+            assert not gateway.ready
+            assert world.nodes["g-sargans"].gateway.ready
+            world.network.heal()
+            await asyncio.sleep(1.0)
+            assert gateway.ready
+
+    async def test_instance_that_cannot_reach_the_primary_promotes_nobody_alone(self) -> None:
+        """Guards against a false promotion by an instance with a fault of its own."""
+        async with World() as world:
+            caller = await world.caller("g-stgallen", "current")
+            world.network.cut("stgallen", "chur")
+            for _ in range(20):
+                await caller.query("WRITE a 1")
+                await asyncio.sleep(0.1)
+            assert world.calls == []
+
+
+class TestStoreAway:
+    """Outages of the store."""
+
+    async def test_writes_go_on_while_the_store_is_away(self) -> None:
+        """Guards against statements that depend on the store."""
+        async with World() as world:
+            caller = await world.caller("g-stgallen", "current")
+            world.store.down = True
+            for number in range(40):
+                assert (await caller.query(f"WRITE a {number}")).served
+                await asyncio.sleep(0.1)
+
+    async def test_members_vouch_while_store_and_an_instance_are_away(self) -> None:
+        """Guards against an outage of the store that stops all writes with one instance gone."""
+        async with World() as world:
+            caller = await world.caller("g-stgallen", "current")
+            world.kill("g-sargans")
+            world.store.down = True
+            await asyncio.sleep(1.0)
+            await caller.query("WRITE a first")
+            await asyncio.sleep(0.5)
+            served = 0
+            for number in range(20):
+                served += (await caller.query(f"WRITE a {number}")).served
+                await asyncio.sleep(0.1)
+            assert served == 20
+
+    async def test_promotion_waits_for_the_store(self) -> None:
+        """Guards against a promotion without a claim."""
+        async with World() as world:
+            caller = await world.caller("g-stgallen", "current")
+            world.store.down = True
+            await asyncio.sleep(0.5)
+            world.member("chur").running = False
+            await world.write_until_served(caller, "WRITE a x", within_s=2.0)
+            assert world.calls == []
+            world.store.down = False
+            result, gap = await world.write_until_served(caller, "WRITE a x", within_s=5.0)
+            assert result.served
+            assert gap <= CRASH_GAP_S + 0.4
+
+    async def test_lost_answer_to_a_claim_is_resolved(self) -> None:
+        """Guards against a claim that took effect and is never completed."""
+        async with World() as world:
+            caller = await world.caller("g-stgallen", "current")
+            world.store.lose_answers = 1
+            world.member("chur").running = False
+            result, _ = await world.write_until_served(caller, "WRITE a x", within_s=5.0)
+            assert result.served
+
+    async def test_instance_that_starts_without_the_store_learns_from_its_peers(self) -> None:
+        """Guards against an instance that waits for the store although its peers know all."""
+        async with World() as world:
+            world.kill("g-chur")
+            world.store.down = True
+            await asyncio.sleep(0.3)
+            gateway = world.start("g-chur", "chur")
+            await asyncio.sleep(1.5)
+            assert gateway.ready
+            caller = await world.caller("g-chur", "current")
+            await world.write_until_served(caller, "WRITE a x", within_s=1.0)
+            assert (await caller.query("WRITE a y")).served
+
+    async def test_configuration_reaches_an_instance_that_is_cut_from_the_store(self) -> None:
+        """Guards against a version that comes into force late where only the store is missing."""
+        async with World() as world:
+            node = world.nodes["g-chur"]
+            node.platform.store.cut_off = True
+            await asyncio.sleep(0.5)
+            world.configure({"only": ("signplan", "CURRENT")})
+            await asyncio.sleep(2.0)
+            assert list(node.gateway.view.catalogue().routes) == ["only"]
+
+    async def test_lost_instance_is_withdrawn_and_registers_again(self) -> None:
+        """Guards against a registration that blocks evidence after an instance is gone."""
+        async with World() as world:
+            world.kill("g-sargans")
+            await asyncio.sleep(8.0)
+            control = world.nodes["g-chur"].gateway.control
+            assert "g-sargans" not in control.instances
+            world.start("g-sargans", "sargans")
+            await asyncio.sleep(1.0)
+            assert "g-sargans" in control.instances
+
+
+class TestShutdown:
+    """Graceful shutdown of a gateway."""
+
+    async def test_statements_are_served_until_the_balancer_has_noticed(self) -> None:
+        """Guards against requests that are cut off by planned work."""
+        async with World() as world:
+            gateway = world.nodes["g-chur"].gateway
+            caller = await world.caller("g-chur", "current")
+            draining = asyncio.create_task(gateway.drain())
+            await asyncio.sleep(0.05)
+            assert not gateway.ready
+            for number in range(20):
+                assert (await caller.query(f"WRITE a {number}")).served
+                await asyncio.sleep(0.1)
+            await draining
+            await asyncio.sleep(0.2)
+            assert caller.closed
+            assert "g-chur" not in world.nodes["g-sargans"].gateway.control.instances
+
+    async def test_open_transaction_has_half_of_the_grace_period(self) -> None:
+        """Guards against transactions that are cut off at once, or that outlast the process."""
+        async with World() as world:
+            gateway = world.nodes["g-chur"].gateway
+            caller = await world.caller("g-chur", "current")
+            await caller.query("BEGIN")
+            await caller.query("WRITE a 1")
+            draining = asyncio.create_task(gateway.drain())
+            await asyncio.sleep(1.5)
+            assert (await caller.query("COMMIT")).served
+            await draining
--- /dev/null
+++ b/tests/gateway/test_reads.py
@@ -0,0 +1,205 @@
+"""Reads at replicas: proven positions, lag and replaced primaries."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.gateway._members import Entry
+from tests.gateway._world import Caller, World
+from wigeonpoint.backend import LogPosition
+from wigeonpoint.process.gateway._placement import ReadOption, choose_reader
+from wigeonpoint.process.gateway._positions import PositionSamples, ReplicaProgress
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+
+async def write_some(caller: Caller, count: int) -> None:
+    """Writes values one after the other, so that positions are known."""
+    for number in range(count):
+        assert (await caller.query(f"WRITE a {number}")).served
+        await asyncio.sleep(0.05)
+
+
+def served_by(proof: str | None) -> str:
+    """Member that a proof names."""
+    return (proof or "").split(".")[0]
+
+
+class TestReplicaReads:
+    """Where reads go and what they see."""
+
+    async def test_session_sees_its_own_write_wherever_it_reads(self) -> None:
+        """Guards against a read at a replica that lacks the session's commit."""
+        async with World() as world:
+            for member in world.group.members.values():
+                member.lag_s = 0.3
+            caller = await world.caller("g-stgallen", "session")
+            for number in range(8):
+                assert (await caller.query(f"WRITE a {number}")).served
+                assert (await caller.query("READ a")).reply.rows == [str(number)]
+                await asyncio.sleep(0.1)
+
+    async def test_aged_reads_are_served_by_the_replica_nearby(self) -> None:
+        """Guards against bulk reads that take the slots of the primary."""
+        async with World() as world:
+            await write_some(await world.caller("g-stgallen", "current"), 10)
+            caller = await world.caller("g-stgallen", "aged")
+            proofs = [(await caller.query("READ a")).reply.proof for _ in range(10)]
+            assert {served_by(proof) for proof in proofs} == {"m-stgallen"}
+
+    async def test_no_aged_read_is_older_than_stated_while_replicas_lag(self) -> None:
+        """Guards against data that is older than the route allows."""
+        async with World() as world:
+            writer = await world.caller("g-stgallen", "current")
+            await write_some(writer, 5)
+            for member in world.group.members.values():
+                member.lag_s = 6.0
+            reader = await world.caller("g-stgallen", "aged")
+            written: list[tuple[float, int]] = []
+            loop = asyncio.get_running_loop()
+            for number in range(40):
+                assert (await writer.query(f"WRITE a {number}")).served
+                written.append((loop.time(), number))
+                began = loop.time()
+                result = await reader.query("READ a")
+                due = [value for at, value in written if at < began - 1.5]
+                if result.served and due:
+                    assert int(result.reply.rows[0]) >= due[-1]
+                await asyncio.sleep(0.1)
+
+    async def test_replaced_primary_with_a_longer_log_proves_nothing(self) -> None:
+        """Guards against a stale read at a replaced primary that compares lengths only."""
+        async with World() as world:
+            writer = await world.caller("g-sargans", "current")
+            await write_some(writer, 6)
+            old = world.member("stgallen")
+            group = world.nodes["g-sargans"].gateway.view.group("signplan")
+            # A member of an older term whose log is longer, and that nobody has told yet.
+            old.compares_numbers_only = True
+            for number in range(20):
+                old.receive(Entry(LogPosition(1, 100 + number), "a", "stale", "x"))
+            old.held_term = 9
+            leader = world.member("chur")
+            leader.term = 2
+            await write_some(writer, 40)
+            assert group.samples.term == 2
+            reader = await world.caller("g-stgallen", "aged")
+            for _ in range(10):
+                assert (await reader.query("READ a")).reply.rows != ["stale"]
+                await asyncio.sleep(0.05)
+
+    async def test_replaced_primary_behind_a_cut_gives_no_samples(self) -> None:
+        """Guards against aged reads that trust the positions of a primary without evidence."""
+        async with World() as world:
+            inside = await world.caller("g-chur", "current")
+            await write_some(inside, 4)
+            await inside.query("BEGIN")
+            await inside.query("READ a")
+            world.isolate("chur")
+            outside = await world.caller("g-sargans", "current")
+            await world.write_until_served(outside, "WRITE a new", within_s=5.0)
+            assert world.group.leader().record.id != "m-chur"
+            samples = world.nodes["g-chur"].gateway.view.group("signplan").samples
+            newest = samples.newest
+            await inside.query("READ a")
+            assert samples.newest == newest
+
+
+class TestPositionSamples:
+    """Which position a read must find."""
+
+    def test_oldest_sample_within_the_age_is_required(self) -> None:
+        """Guards against a sample that is older than the age allows."""
+        samples = PositionSamples()
+        for number in range(10):
+            samples.note(LogPosition(1, number), begun_at=float(number))
+        sample = samples.oldest_since(6.5)
+        assert sample is not None
+        assert sample.position == LogPosition(1, 7)
+
+    def test_no_sample_is_young_enough(self) -> None:
+        """Guards against a read without proof after the primary has been quiet."""
+        samples = PositionSamples()
+        samples.note(LogPosition(1, 1), begun_at=1.0)
+        assert samples.oldest_since(2.0) is None
+
+    def test_new_term_drops_the_samples_of_the_old_one(self) -> None:
+        """Guards against positions that the new primary's log does not contain."""
+        samples = PositionSamples()
+        samples.note(LogPosition(1, 900), begun_at=1.0)
+        samples.note(LogPosition(2, 880), begun_at=2.0)
+        samples.note(LogPosition(1, 901), begun_at=2.5)
+        assert samples.oldest_since(0.0) == samples.newest
+        assert samples.term == 2
+
+
+class TestReplicaProgress:
+    """How far a replica is behind."""
+
+    def test_replica_that_lacked_a_position_is_left_alone_for_its_lag(self) -> None:
+        """Guards against reads that are sent in vain while a replica lags."""
+        progress = ReplicaProgress()
+        progress.note_behind(10.0, committed_before_s=0.4)
+        assert not progress.has(LogPosition(1, 5), 10.3, known_since=9.9)
+        assert progress.has(LogPosition(1, 5), 10.7, known_since=9.9)
+
+    def test_replica_returns_by_itself(self) -> None:
+        """Guards against a replica that stays out of use after its lag is over."""
+        progress = ReplicaProgress()
+        for _ in range(10):
+            progress.note_behind(10.0, committed_before_s=5.0)
+        assert progress.lag_s <= 3.0
+        progress.note_applied(LogPosition(1, 9), committed_before_s=0.03)
+        for number in range(60):
+            progress.note_applied(LogPosition(1, 10 + number), committed_before_s=0.03)
+        assert progress.lag_s < 0.1
+
+
+class TestPlacement:
+    """The choice among the members that may serve a read."""
+
+    @staticmethod
+    def option(member_id: str, **changes: object) -> ReadOption:
+        """A member that answers in 10 ms."""
+        fields: dict[str, object] = {
+            "member_id": member_id,
+            "primary": False,
+            "local": True,
+            "proven": True,
+            "available": True,
+            "queued": 0,
+            "slots": 2,
+            "latency_s": 0.01,
+        }
+        return ReadOption(**(fields | changes))  # type: ignore[arg-type]
+
+    def test_flood_of_reads_spreads_over_the_members(self) -> None:
+        """Guards against a flood that queues at one member while others are free."""
+        queued = {"near": 0, "far": 0, "primary": 0}
+        for _ in range(60):
+            options = [
+                self.option("near", queued=queued["near"]),
+                self.option("far", queued=queued["far"], local=False),
+                self.option("primary", queued=queued["primary"], primary=True),
+            ]
+            chosen = choose_reader(options, excluded=frozenset())
+            assert chosen is not None
+            queued[chosen] += 1
+        assert queued["near"] - queued["far"] <= 2
+        assert 0 < queued["primary"] < queued["far"] / 1.5
+
+    def test_unproven_unavailable_and_tried_members_are_left_out(self) -> None:
+        """Guards against a read that is sent where it cannot be served."""
+        options = [
+            self.option("behind", proven=False),
+            self.option("dark", available=False),
+            self.option("tried"),
+        ]
+        assert choose_reader(options, excluded=frozenset({"tried"})) is None
+
+    def test_slow_member_loses_its_reads(self) -> None:
+        """Guards against reads that wait at a slow member nearby."""
+        options = [self.option("slow", latency_s=0.2), self.option("far", local=False)]
+        assert choose_reader(options, excluded=frozenset()) == "far"
