Test the adapter over the platform's own protocols on loopback

Found by the tests: the page after the first was asked for with a control character in the key, and an over-long message closed the connection without a numbered error.

--- a/src/wigeonpoint/connection/session/_protocols.py
+++ b/src/wigeonpoint/connection/session/_protocols.py
@@ -226,12 +226,10 @@
     Attributes:
         problem: What is wrong with it.
         too_large: Whether it exceeds the size limit.
-        fatal: Whether the rest of the stream cannot be read either.
     """
 
     problem: str
     too_large: bool = False
-    fatal: bool = False
 
 
 CallerMessage = OpenSession | SessionStatement | EndSession | WrongMessage
--- a/src/wigeonpoint/platform/_callers.py
+++ b/src/wigeonpoint/platform/_callers.py
@@ -21,6 +21,9 @@
 from wigeonpoint.platform._sockets import tune_socket
 from wigeonpoint.request.session import Reply, TransactionState
 
+# A message up to this length gets a numbered error; a longer one ends the connection.
+LONGEST_READ_BYTES = 4 * MAX_LINE_BYTES
+
 
 class LineCallerConnection:
     """The connection of one caller."""
@@ -31,13 +34,11 @@
     async def receive(self) -> CallerMessage:
         """Waits for the next message."""
         try:
-            line = await self._stream.read_until(END_OF_LINE, max_bytes=MAX_LINE_BYTES)
-        except UnsatisfiableReadError:
-            return WrongMessage("message too large", too_large=True, fatal=True)
-        except StreamClosedError as error:
-            if isinstance(error.real_error, UnsatisfiableReadError):
-                return WrongMessage("message too large", too_large=True, fatal=True)
+            line = await self._stream.read_until(END_OF_LINE, max_bytes=LONGEST_READ_BYTES)
+        except (StreamClosedError, UnsatisfiableReadError) as error:
             raise CallerGone from error
+        if len(line) > MAX_LINE_BYTES:
+            return WrongMessage(f"message over {MAX_LINE_BYTES} bytes", too_large=True)
         return parse_caller_message(decode_line(line))
 
     async def accept(self) -> None:
--- a/src/wigeonpoint/platform/_store.py
+++ b/src/wigeonpoint/platform/_store.py
@@ -47,12 +47,12 @@
             query = {"table": table, "part": "", **({"from": start} if start else {})}
             answer = await self._get("/rows-get", query, timeout=CALL_TIMEOUT_S)
             page = _decode(answer)
-            rows += _rows(page)
+            rows += [row for row in _rows(page) if not rows or row.key > rows[-1].key]
             # The oldest page decides: changes after it are read from the feed.
             version = _version(page) if version is None else version
             if not page.get("hasMore") or not rows:
                 return RowsRead(rows, version)
-            start = rows[-1].key + "\0"
+            start = rows[-1].key  # the next page begins with this row again
 
     async def changes(self, table: str, *, after: int, wait_s: float) -> RowsRead:
         """Waits for changes of a table."""
--- a/src/wigeonpoint/process/gateway/_session_service.py
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -131,11 +131,7 @@
             if isinstance(message, WrongMessage):
                 log_event(Event.MESSAGE_REFUSED, problem=message.problem)
                 refusal = Refusal.TOO_LARGE if message.too_large else Refusal.MALFORMED
-                reply = refuse_statement(refusal, message.problem)
-                if message.fatal:
-                    await connection.reject(reply)
-                    return
-                await connection.reply(reply, session.state)
+                await connection.reply(refuse_statement(refusal, message.problem), session.state)
                 continue
             await self._answer(connection, session, message)
 
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -7,7 +7,9 @@
 
 import pytest
 
+from tests.gateway._members import Entry
 from tests.gateway._world import Caller, World
+from wigeonpoint.backend import LogPosition
 from wigeonpoint.connection.session import CallerGone
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -95,12 +97,16 @@
         async with World() as world:
             world.group.promote_s = 2.5
             caller = await world.caller("g-sargans", "current")
-            world.leave(world.member("chur"))
+            world.isolate("chur")
             while not world.calls:
                 await caller.query("WRITE a x")
                 await asyncio.sleep(0.01)
-            world.kill(world.calls[0].holder)
-            other = next(iter(world.nodes))
+            world.network.heal()
+            # The old primary has the longest log, so that it would be chosen by its log alone.
+            world.member("chur").receive(Entry(LogPosition(1, 99), "b", "late", "late"))
+            holder = world.calls[0].holder
+            world.kill(holder)
+            other = "g-sargans" if holder != "g-sargans" else "g-stgallen"
             caller = await world.caller(other, "current")
             result, _ = await world.write_until_served(caller, "WRITE a after", within_s=12.0)
             assert result.served
--- /dev/null
+++ b/tests/userplatform/test_whole_path.py
@@ -0,0 +1,301 @@
+"""A gateway over the platform's own protocols on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+
+import pytest
+
+from tests.fakes import FakeNetwork
+from tests.gateway._members import ModelGroup
+from tests.userplatform._servers import MemberServer, PlatformServer, free_port
+from wigeonpoint.platform import UserPlatform
+from wigeonpoint.process.gateway import Gateway, GatewaySettings
+
+SERVICE = "huvo11a"
+CONFIG = {
+    "configVersion": 7,
+    "routeTable": [
+        {
+            "name": "r-1",
+            "dbName": "orders",
+            "prefix": "/",
+            "routeType": "primary",
+            "timeoutMs": 800,
+            "targetLatencyMs": 100,
+            "priority": 0,
+            "serviceName": SERVICE,
+        },
+        {
+            "name": "r-2",
+            "dbName": "plans",
+            "routeType": "read_your_writes",
+            "timeoutMs": 800,
+            "targetLatencyMs": 200,
+            "priority": 1,
+            "serviceName": SERVICE,
+            "maxStalenessMs": 2500,
+        },
+        {"name": "broken", "dbName": 5},
+    ],
+    "services": [{"name": SERVICE, "maxConnections": 16, "syncReplicas": 0}],
+    "limits": {"txIdleMs": 3000},
+}
+
+
+class Deployment:
+    """One gateway before one group of three members."""
+
+    def __init__(self) -> None:
+        self.group = ModelGroup(SERVICE, FakeNetwork())
+        self.platform = PlatformServer({SERVICE: self.group})
+        self.members: dict[str, MemberServer] = {}
+        self.gateway: Gateway | None = None
+        self.address = ("127.0.0.1", free_port())
+
+    async def start(self) -> None:
+        """Starts everything and waits until the gateway is ready."""
+        self.platform.start()
+        for name in ("chur", "stgallen", "sargans"):
+            member = self.group.add(f"i-{name}", name, primary=name == "chur")
+            server = self.members[name] = MemberServer(self.group, member)
+            await server.start()
+            self.platform.list_member(member)
+        self.platform.put("servers", "i-foreign", {"serviceName": SERVICE, "state": 3})
+        self.platform.store.put("servers", "i-bytes", b"\xff\x00")
+        self.platform.put("op", "config", CONFIG)
+        settings = GatewaySettings(
+            instance_id="front-chur-1",
+            data_centre="chur",
+            caller_address=f"127.0.0.1:{self.address[1]}",
+            readiness_address=f"127.0.0.1:{free_port()}",
+            peer_address=f"127.0.0.1:{free_port()}",
+            seeds=(),
+            store_address=self.platform.address,
+            promotion_address=self.platform.address,
+            grace_s=2.0,
+            leaving_s=7.0,
+        )
+        self.gateway = Gateway(settings, UserPlatform(settings))
+        self.gateway.start()
+        await self.until(lambda: self.gateway is not None and self.gateway.ready)
+        await self.until(lambda: self.gateway is not None and self.gateway.control.current)
+
+    async def until(self, condition: object, seconds: float = 10.0) -> None:
+        """Waits for a condition."""
+        end = time.monotonic() + seconds
+        while not condition():  # type: ignore[operator]
+            assert time.monotonic() < end
+            await asyncio.sleep(0.01)
+
+    def stop(self) -> None:
+        """Stops everything."""
+        if self.gateway is not None:
+            self.gateway.stop()
+        for member in self.members.values():
+            member.crash()
+        self.platform.stop()
+
+    async def open(self) -> LineClient:
+        """Connects a caller."""
+        reader, writer = await asyncio.open_connection(*self.address)
+        return LineClient(reader, writer)
+
+
+class LineClient:
+    """A caller that speaks the line protocol."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def send(self, line: str) -> list[str]:
+        """Sends a line and reads the whole answer."""
+        self._writer.write(line.encode("latin-1") + b"\r\n")
+        return await self.read()
+
+    async def read(self) -> list[str]:
+        """Reads lines up to the one that ends an answer, or the end of the connection."""
+        lines: list[str] = []
+        while not lines or not lines[-1].startswith("READY"):
+            line = await asyncio.wait_for(self._reader.readline(), 5.0)
+            if not line:
+                break
+            lines.append(line.decode("latin-1").rstrip("\r\n"))
+        return lines
+
+
+@pytest.fixture
+async def deployment() -> AsyncIterator[Deployment]:
+    """A deployment that is ready."""
+    deployment = Deployment()
+    try:
+        await deployment.start()
+        yield deployment
+    finally:
+        deployment.stop()
+
+
+class TestCalm:
+    """Statements without a fault."""
+
+    async def test_write_and_read_come_back_with_the_members_proof(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against ids, texts, rows or proofs that change on the way."""
+        caller = await deployment.open()
+        assert await caller.send("CONNECT orders u1") == ["READY I -"]
+        assert await caller.send("QUERY aa01 WRITE item some data") == [
+            "COMPLETE i-chur.aa01",
+            "READY I -",
+        ]
+        assert await caller.send("QUERY aa02 READ item") == [
+            "ROW some data",
+            "COMPLETE i-chur.aa02",
+            "READY I -",
+        ]
+        assert "QUERY aa01 WRITE item some data" in deployment.members["chur"].sent
+
+    async def test_values_and_prepared_statements_are_answered_here(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against a member connection that is held for the state of a session."""
+        caller = await deployment.open()
+        await caller.send("CONNECT orders u1")
+        assert await caller.send("QUERY a1 SET colour red") == ["COMPLETE -", "READY I -"]
+        assert await caller.send("QUERY a2 PREPARE s1 READ q2c") == ["COMPLETE -", "READY I -"]
+        answer = await caller.send("QUERY a3 EXECUTE s1 1a4")
+        assert answer == ["ROW q2c", "COMPLETE i-chur.a3", "READY I -"]
+        sent = deployment.members["chur"].sent
+        assert sent[-3:] == [
+            "QUERY - SET colour red",
+            "QUERY - PREPARE p1 READ q2c",
+            "QUERY a3 EXECUTE p1 1a4",
+        ]
+
+    async def test_transaction_is_bound_to_one_connection(self, deployment: Deployment) -> None:
+        """Guards against statements of a transaction on different connections."""
+        caller = await deployment.open()
+        await caller.send("CONNECT orders u1")
+        assert await caller.send("QUERY b1 BEGIN") == ["COMPLETE -", "READY T -"]
+        assert (await caller.send("QUERY b2 WRITE x 1"))[-1] == "READY T -"
+        assert await caller.send("QUERY b3 COMMIT") == ["COMPLETE i-chur.b3", "READY I -"]
+        assert [e.statement_id for e in deployment.group.members["i-chur"].log] == ["b2"]
+
+    async def test_read_at_a_replica_names_the_required_position(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against replica reads without proof."""
+        caller = await deployment.open()
+        await caller.send("CONNECT plans u1")
+        for number in range(30):
+            await caller.send(f"QUERY w{number} WRITE item {number}")
+            assert (await caller.send(f"QUERY r{number} READ item"))[0] == f"ROW {number}"
+            await asyncio.sleep(0.02)
+        replicas = [deployment.members[name] for name in ("stgallen", "sargans")]
+        reads = [line for one in replicas for line in one.sent if " READ item" in line]
+        assert all(" AFTER " in line for line in reads)
+
+
+class TestBadInput:
+    """Messages, rows and addresses that are wrong."""
+
+    @pytest.mark.parametrize("line", ["HELLO", "QUERY onlyid", "QUERY a1 FROBNICATE x"])
+    async def test_malformed_message_is_refused_and_the_session_goes_on(
+        self, deployment: Deployment, line: str
+    ) -> None:
+        """Guards against a session that ends with a malformed line."""
+        caller = await deployment.open()
+        await caller.send("CONNECT orders u1")
+        answer = await caller.send(line)
+        assert answer[0].startswith("ERROR MALFORMED ")
+        assert answer[1] == "READY I -"
+        assert (await caller.send("QUERY a2 READ item"))[-1] == "READY I -"
+
+    async def test_message_that_is_too_long_gets_an_error_and_the_session_goes_on(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against a buffer that grows without bound."""
+        caller = await deployment.open()
+        await caller.send("CONNECT orders u1")
+        answer = await caller.send("QUERY a1 WRITE item " + "x" * (1 << 20))
+        assert answer[0].startswith("ERROR TOOBIG ")
+        assert (await caller.send("QUERY a2 READ item"))[-1] == "READY I -"
+
+    async def test_unknown_database_is_refused(self, deployment: Deployment) -> None:
+        """Guards against a session for a database without a route."""
+        caller = await deployment.open()
+        assert (await caller.send("CONNECT nowhere u1"))[0].startswith("ERROR NODB ")
+
+    async def test_unreadable_rows_name_nobody_and_the_others_hold(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against one wrong row that hides the others."""
+        assert deployment.gateway is not None
+        view = deployment.gateway.view
+        assert sorted(view.catalogue().routes) == ["orders", "plans"]
+        assert {pool.record.id for pool in view.group(SERVICE).pools} == {
+            "i-chur",
+            "i-stgallen",
+            "i-sargans",
+        }
+
+    async def test_address_that_belongs_to_another_member_gets_no_statement(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against statements at a member that took over an address."""
+        group = deployment.group
+        record = group.members["i-stgallen"].record
+        other = group.add("i-new", "stgallen")
+        object.__setattr__(other.record, "address", record.address)
+        deployment.platform.list_member(other)
+        await asyncio.sleep(0.3)
+        assert not any("READ" in line for line in deployment.members["stgallen"].sent)
+
+
+class TestFaults:
+    """Failures over the platform's protocols."""
+
+    async def test_crashed_primary_is_replaced_through_the_promotion_call(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against a promotion call that the platform does not understand."""
+        caller = await deployment.open()
+        await caller.send("CONNECT orders u1")
+        await caller.send("QUERY a1 WRITE item before")
+        await asyncio.sleep(0.1)
+        deployment.members["chur"].crash()
+        end = time.monotonic() + 10
+        answer = ["ERROR"]
+        while answer[0].startswith("ERROR") and time.monotonic() < end:
+            answer = await caller.send("QUERY a2 WRITE item after")
+            await asyncio.sleep(0.02)
+        assert answer[0].startswith("COMPLETE i-s")
+        assert [promotion[1:] for promotion in deployment.platform.promotions] == [
+            ("front-chur-1", "1")
+        ]
+
+    async def test_outage_of_the_store_stops_no_statement(self, deployment: Deployment) -> None:
+        """Guards against statements that wait for the store."""
+        caller = await deployment.open()
+        await caller.send("CONNECT orders u1")
+        deployment.platform.status = 503
+        for number in range(20):
+            answer = await caller.send(f"QUERY a{number} WRITE item {number}")
+            assert answer[0].startswith("COMPLETE")
+            await asyncio.sleep(0.05)
+
+    async def test_shutdown_answers_what_was_asked_and_ends_idle_sessions(
+        self, deployment: Deployment
+    ) -> None:
+        """Guards against a shutdown that interrupts a statement."""
+        caller = await deployment.open()
+        await caller.send("CONNECT orders u1")
+        assert deployment.gateway is not None
+        draining = asyncio.create_task(deployment.gateway.drain())
+        await asyncio.sleep(0.1)
+        assert (await caller.send("QUERY a1 WRITE item 1"))[0] == "COMPLETE i-chur.a1"
+        await draining
+        assert await caller.read() == []
