--- a/src/wigeonpoint/cli/_gateway.py
+++ b/src/wigeonpoint/cli/_gateway.py
@@ -47,7 +47,7 @@
 
 
 async def _run(settings: GatewaySettings, path: Path) -> None:
-    configure_logs("INFO", instance_id=settings.instance_id)
+    configure_logs("INFO", instance_id=settings.instance_id, stream=sys.stdout)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tools/write_catalogues.py
+++ b/tools/write_catalogues.py
@@ -29,7 +29,8 @@
 """
 _EVENTS_HEAD = """# Log events
 
-Log lines are JSON objects on standard error with `time`, `level`, `message`, `instance` and
+Log lines are JSON objects, on standard error (`serve`) or standard output (`gateway`), with
+`time`, `level`, `message`, `instance` and
 `event`.
 Hundreds: 1xx process, 2xx configuration, 3xx membership, 4xx database groups, 5xx owners and
 connections, 6xx requests.
