--- a/src/wigeonpoint/connection/session/_protocols.py
+++ b/src/wigeonpoint/connection/session/_protocols.py
@@ -81,7 +81,7 @@
         role: What it takes itself to be.
         term: Term of its log.
         received: End of the log that it has received.
-        held_term: Highest term that it obeys.
+        held_term: Term for which it has been suspended, 0 if it is not.
         lag_s: How far it applies behind, in seconds.
         busy: Slots in use.
         connections: Connections from all instances together.
@@ -95,6 +95,11 @@
     busy: int
     connections: int
 
+    @property
+    def newest_term(self) -> int:
+        """Newest term that the member knows of."""
+        return max(self.term, self.held_term)
+
 
 class MemberUnreachable(Exception):
     """No connection to the member could be made; nothing was sent."""
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -41,7 +41,7 @@
 CALL_TRIES = 4
 CALL_PAUSE_S = 0.2
 STORE_TRIES = 3
-LOST_S = 6.0  # an instance that restarts, or is cut off for a while, is back before
+LOST_S = 8.0  # an instance that restarts, or is cut off for a while, is back before
 STUCK_CLAIM_S = 1.5  # a claim without progress for this long is taken over
 
 
@@ -120,7 +120,10 @@
 
     async def _withdraw_lost(self) -> None:
         """Withdraws instances that nobody has heard of for long; they would block evidence."""
-        if not self._control.current or not self._coordinates():
+        if not self._control.current:
+            self._lost_since.clear()  # whoever is cut off itself cannot tell who is gone
+            return
+        if not self._coordinates():
             return
         now = self._control.evidence.now
         for name in list(self._control.peers):
@@ -344,7 +347,7 @@
         records = [pool.record for pool in group.pools]
         reports = await self._members.reports(records)
         known = [report for report in reports.values() if report is not None]
-        term = max((max(report.term, report.held_term) for report in known), default=0) + 1
+        term = max((report.newest_term for report in known), default=0) + 1
         followers = [
             record
             for record in records
--- a/src/wigeonpoint/process/gateway/control/_member_evidence.py
+++ b/src/wigeonpoint/process/gateway/control/_member_evidence.py
@@ -30,7 +30,7 @@
 def vouched(
     primary: str, reports: Mapping[str, MemberReport | None], members: Collection[str]
 ) -> bool:
-    """Whether a majority of the members holds no later term than the primary's.
+    """Whether a majority of the members knows of no later term than the primary's.
 
     Args:
         primary: Id of the primary.
@@ -43,7 +43,7 @@
     agreeing = [
         member
         for member in members
-        if (report := reports.get(member)) is not None and report.held_term <= own.term
+        if (report := reports.get(member)) is not None and report.newest_term <= own.term
     ]
     return len(agreeing) >= majority(len(members))
 
