--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -120,10 +120,8 @@
 
     async def _withdraw_lost(self) -> None:
         """Withdraws instances that nobody has heard of for long; they would block evidence."""
-        if not self._control.current:
-            self._lost_since.clear()  # whoever is cut off itself cannot tell who is gone
-            return
-        if not self._coordinates():
+        if not self._control.current or not self._coordinates():
+            self._lost_since.clear()  # whoever was cut off itself cannot tell who is gone
             return
         now = self._control.evidence.now
         for name in list(self._control.peers):
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -293,10 +293,15 @@
     async def test_instance_that_was_cut_off_withdraws_nobody_on_its_return(self) -> None:
         """Guards against an instance that takes its own isolation for the loss of all others."""
         async with World() as world:
+            for other in ("stgallen", "sargans"):
+                world.network.cut("chur", other)
+            await asyncio.sleep(1.0)
             world.isolate("chur")
             await asyncio.sleep(9.0)
+            world.network.cuts.discard(frozenset(("chur", "platform")))  # the store is back first
+            await asyncio.sleep(0.5)
+            names = {frozenset(world.nodes["g-sargans"].gateway.control.instances)}
             world.network.heal()
-            names = set()
             for _ in range(30):
                 await asyncio.sleep(0.05)
                 names.add(frozenset(world.nodes["g-sargans"].gateway.control.instances))
