--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -28,6 +28,7 @@
 # The store is asked when the evidence of the peers has become this old.
 ASK_AFTER_S = 0.4 * EVIDENCE_LIFE_S
 STEP_S = 0.08
+LOADING_STEP_S = 0.01
 PLANNED_DRAIN_S = 0.15  # for statements in progress at a primary that is leaving
 REGISTER_PAUSE_S = 0.3
 
@@ -227,7 +228,7 @@
         while True:
             if self.feed.loaded and not self.registered and not self._leaving:
                 await self._register()
-            await asyncio.sleep(REGISTER_PAUSE_S if self.registered else STEP_S)
+            await asyncio.sleep(REGISTER_PAUSE_S if self.registered else LOADING_STEP_S)
 
     async def _register(self) -> None:
         key = instance_row(self._name)
@@ -242,10 +243,11 @@
 
     async def _keep_evidence(self) -> None:
         while True:
-            await asyncio.sleep(STEP_S)
             if self.feed.loaded and self.evidence.age_s(self.peers) > ASK_AFTER_S:
                 await self._ask_store()
             self._log_change()
+            # Until the control rows are there, nothing can be served that needs a primary.
+            await asyncio.sleep(STEP_S if self.feed.loaded else LOADING_STEP_S)
 
     async def _ask_store(self) -> None:
         asked_at = self.evidence.now
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Iterator
 
 import pytest
 from tools.cluster import CALLER_TOKEN, OPERATOR_TOKEN, Cluster, call
 from tools.kept_http import KeptConnection
 
+MEMBERSHIP_S = 10.0  # an instance is ready before gossip has told all others of it
+
 
 @pytest.fixture(scope="module")
 def cluster() -> Iterator[Cluster]:
@@ -133,7 +136,12 @@
         for name in ("chur-1", "sargans-1"):
             cluster.statement(name, route="closures", text="GET a", access="read", rank="bulk")
         address = cluster.processes["chur-2"].address
-        reply = call("GET", f"http://{address}/admin/v1/burn", token=OPERATOR_TOKEN)
+        end = time.monotonic() + MEMBERSHIP_S
+        while True:
+            reply = call("GET", f"http://{address}/admin/v1/burn", token=OPERATOR_TOKEN)
+            if len(reply.body["report"]["instances"]) == 4 or time.monotonic() > end:
+                break
+            time.sleep(0.1)
         rows = reply.body["report"]["rows"]
         bulk = [row for row in rows if (row["rank"], row["window"]) == ("bulk", "1h")]
         assert [row["total"] for row in bulk] == [2]
