Decide on changes of primary only with settled evidence, and give claims their time

A test for the false promotion failed first. Claims of two groups at once also lost a round because both change the duty; such a claim is made again at once.

--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -42,7 +42,9 @@
 CALL_PAUSE_S = 0.2
 STORE_TRIES = 3
 LOST_S = 8.0  # an instance that restarts, or is cut off for a while, is back before
-STUCK_CLAIM_S = 1.5  # a claim without progress for this long is taken over
+STUCK_CLAIM_S = 4.0  # a claim that takes longer, with its claimant in contact, is taken over
+LOST_CLAIMANT_S = 0.6  # the same where the claimant does not answer
+SETTLING_S = 0.4  # two rounds of pings after evidence is regained
 
 
 class Superseded(Exception):
@@ -94,6 +96,7 @@
         self._not_before: dict[str, float] = {}
         self._claimed_since: dict[str, tuple[int, float]] = {}
         self._lost_since: dict[str, float] = {}
+        self._current_since: float | None = None
         self._watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -111,7 +114,8 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(STEP_S)
-            if not self._control.registered:
+            if not self._settled():
+                self._lost_since.clear()
                 continue
             for name, group in self._groups().items():
                 if name not in self._running and self._due(name):
@@ -120,8 +124,8 @@
 
     async def _withdraw_lost(self) -> None:
         """Withdraws instances that nobody has heard of for long; they would block evidence."""
-        if not self._control.current or not self._coordinates():
-            self._lost_since.clear()  # whoever was cut off itself cannot tell who is gone
+        if not self._coordinates():
+            self._lost_since.clear()
             return
         now = self._control.evidence.now
         for name in list(self._control.peers):
@@ -133,6 +137,21 @@
                 self._lost_since.pop(name, None)
                 await self._control.withdraw(name)
 
+    def _settled(self) -> bool:
+        """Whether this instance has had evidence for a while, so that it judges by fresh facts.
+
+        Behind a cut it reaches neither the other primaries nor their claimants, and knows neither
+        the newest claims nor the holder of the duty.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self._control.current:
+            self._current_since = None
+            self._claimed_since.clear()
+            return False
+        if self._current_since is None:
+            self._current_since = now
+        return now - self._current_since >= SETTLING_S
+
     def _due(self, name: str) -> bool:
         now = asyncio.get_running_loop().time()
         return now >= self._not_before.get(name, 0.0)
@@ -186,8 +205,8 @@
         if epoch != leadership.epoch:
             self._claimed_since[name] = (leadership.epoch, now)
             return leadership.claimant == self._control.name  # left over from an earlier process
-        lost = leadership.claimant not in contact
-        return lost or now - since > STUCK_CLAIM_S
+        patience = STUCK_CLAIM_S if leadership.claimant in contact else LOST_CLAIMANT_S
+        return now - since > patience
 
     def _start(self, name: str, group: Group, reason: ReplacementReason | None) -> None:
         task = asyncio.create_task(self._replace(name, group, reason))
@@ -247,10 +266,25 @@
     async def _claim(self, name: str, candidate: MemberRecord, *, planned: bool) -> _Claim:
         """Records the claim, and with it the duty if another instance held it.
 
+        Claims of several groups at once all change the duty, so one that lost only that race is
+        made again with the duty that it has now.
+
         Raises:
             ConditionFailed: The records had changed.
             StoreUnavailable: The store does not answer.
+            Superseded: This instance has lost its evidence meanwhile.
         """
+        known = self._control.leadership(name)
+        if not self._control.current:
+            raise Superseded("no evidence any more that the primary may be replaced")
+        try:
+            return await self._claim_once(name, candidate, planned=planned)
+        except ConditionFailed:
+            if self._control.leadership(name) != known:
+                raise
+            return await self._claim_once(name, candidate, planned=planned)
+
+    async def _claim_once(self, name: str, candidate: MemberRecord, *, planned: bool) -> _Claim:
         records = self._control.records
         known, duty = self._control.leadership(name), records.duty()
         group = self._groups().get(name)
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -195,6 +195,24 @@
             await asyncio.sleep(1.0)
             assert gateway.ready
 
+    async def test_half_of_the_instances_behind_a_cut_replace_nobody_on_their_return(self) -> None:
+        """Guards against a false promotion that was decided behind a cut."""
+        async with World() as world:
+            world.start("g-sargans-2", "sargans")
+            await asyncio.sleep(1.0)
+            inside = [await world.caller(name, "current") for name in ("g-sargans", "g-sargans-2")]
+            world.isolate("sargans")
+            for _ in range(30):
+                for caller in inside:
+                    if not caller.closed:
+                        with suppress(CallerGone):
+                            await caller.query("WRITE a 1")
+                await asyncio.sleep(0.05)
+            world.network.heal()
+            await asyncio.sleep(3.0)
+            assert world.calls == []
+            assert world.group.leader().record.id == "m-chur"
+
     async def test_instance_that_cannot_reach_the_primary_promotes_nobody_alone(self) -> None:
         """Guards against a false promotion by an instance with a fault of its own."""
         async with World() as world:
