--- /dev/null
+++ b/tests/gateway/test_member_pool.py
@@ -0,0 +1,136 @@
+"""Links to one member under load: who gets them first, who is refused, and what is held."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.fakes import FakeNetwork
+from tests.gateway._members import ModelConnector, ModelGroup, ModelMember
+from wigeonpoint.connection.session import MemberLink
+from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.process.gateway._member_pool import STARTING_S, MemberPool
+from wigeonpoint.request import Rank
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+HOLD_S = 0.05
+
+
+class Member:
+    """A member with a pool in front of it."""
+
+    def __init__(self, *, share: int = 4, limit: int = 16) -> None:
+        group = ModelGroup("signplan", FakeNetwork(data_centres={"here": "chur"}))
+        self.member: ModelMember = group.add("m", "chur", primary=True)
+        self.member.connection_limit = limit
+        self.pool = MemberPool(
+            self.member.record,
+            ModelConnector({"signplan": group}, "chur"),
+            share=lambda: share,
+            limit=lambda: limit,
+        )
+
+    async def started(self) -> Member:
+        """The member after the pool has started."""
+        await asyncio.sleep(STARTING_S)
+        return self
+
+    async def work(self, rank: Rank, served: list[Rank], *, deadline_s: float = 60.0) -> None:
+        """Takes a link, holds it for a while and returns it."""
+        deadline = asyncio.get_running_loop().time() + deadline_s
+        link: MemberLink = await self.pool.acquire(rank, caller=str(rank), deadline=deadline)
+        served.append(rank)
+        await asyncio.sleep(HOLD_S)
+        self.pool.release(link)
+
+
+class TestFloods:
+    """One kind of work in excess of what the member takes."""
+
+    async def test_urgent_work_overtakes_a_flood_of_bulk_work(self) -> None:
+        """Guards against urgent work that waits behind a flood of bulk work."""
+        member = await Member(limit=4).started()
+        served: list[Rank] = []
+        bulk = [asyncio.create_task(member.work(Rank.BULK, served)) for _ in range(60)]
+        await asyncio.sleep(0.1)
+        began = asyncio.get_running_loop().time()
+        await asyncio.gather(*(member.work(Rank.URGENT, served) for _ in range(4)))
+        assert asyncio.get_running_loop().time() - began < 4 * HOLD_S
+        await asyncio.gather(*bulk)
+        assert len(served) == 64
+
+    async def test_flood_of_urgent_work_leaves_the_others_their_share(self) -> None:
+        """Guards against ranks that get nothing while urgent work floods."""
+        member = await Member(limit=4).started()
+        served: list[Rank] = []
+        urgent = [asyncio.create_task(member.work(Rank.URGENT, served)) for _ in range(200)]
+        await asyncio.sleep(0)
+        bulk = [asyncio.create_task(member.work(Rank.BULK, served)) for _ in range(10)]
+        await asyncio.gather(*urgent, *bulk)
+        first_half = served[: len(served) // 2]
+        assert first_half.count(Rank.BULK) >= 3
+
+    async def test_work_that_cannot_be_served_in_time_is_refused_at_once(self) -> None:
+        """Guards against work that waits for its deadline although its turn comes later."""
+        member = await Member(limit=2).started()
+        served: list[Rank] = []
+        queue = [asyncio.create_task(member.work(Rank.STANDARD, served)) for _ in range(80)]
+        await asyncio.sleep(0.5)
+        began = asyncio.get_running_loop().time()
+        with pytest.raises(NotRun) as refusal:
+            await member.work(Rank.STANDARD, served, deadline_s=0.2)
+        assert refusal.value.code is ResultCode.DEADLINE_UNREACHABLE
+        assert refusal.value.retry_after_ms is not None
+        assert asyncio.get_running_loop().time() - began < 0.01
+        await asyncio.gather(*queue)
+
+
+class TestConnections:
+    """How many connections are held."""
+
+    async def test_borrowed_connections_are_given_back_after_a_burst(self) -> None:
+        """Guards against a burst that leaves the limit full for instances that return."""
+        member = await Member().started()
+        served: list[Rank] = []
+        await asyncio.gather(*(member.work(Rank.URGENT, served) for _ in range(12)))
+        assert member.pool.open > 2
+        await asyncio.sleep(0.6)
+        member.pool.close_spare()
+        assert member.pool.open <= 2
+
+    async def test_instances_that_start_take_half_of_their_share(self) -> None:
+        """Guards against the first to start that leaves nothing for the others."""
+        member = Member()
+        served: list[Rank] = []
+        work = [asyncio.create_task(member.work(Rank.URGENT, served)) for _ in range(12)]
+        await asyncio.sleep(0.2)
+        assert member.member.connections == 1
+        await asyncio.gather(*work)
+
+    async def test_member_at_its_limit_is_asked_one_connection_at_a_time(self) -> None:
+        """Guards against a storm of connections that the member refuses."""
+        member = await Member().started()
+        member.member.connections = 16
+        for _ in range(40):
+            with pytest.raises(NotRun):
+                await member.work(Rank.URGENT, [], deadline_s=0.1)
+            await asyncio.sleep(0.05)
+        assert member.pool.refused <= 20
+
+    async def test_unreachable_member_refuses_at_once_and_returns(self) -> None:
+        """Guards against work that waits for a member that does not answer."""
+        member = await Member().started()
+        member.member.running = False
+        with pytest.raises(NotRun):
+            await member.work(Rank.URGENT, [])
+        with pytest.raises(NotRun) as refusal:
+            await member.work(Rank.URGENT, [])
+        assert refusal.value.code is ResultCode.BACKEND_UNREACHABLE
+        member.member.running = True
+        await asyncio.sleep(0.2)
+        served: list[Rank] = []
+        await member.work(Rank.URGENT, served)
+        assert served == [Rank.URGENT]
+        assert member.pool.health.available
