--- /dev/null
+++ b/tests/gateway/test_policy.py
@@ -0,0 +1,142 @@
+"""Decisions on changes of primary and the evidence behind them, without a network."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wigeonpoint.backend import LogPosition, MemberRole
+from wigeonpoint.connection.session import MemberReport
+from wigeonpoint.process.gateway.control import (
+    EVIDENCE_LIFE_S,
+    Evidence,
+    PrimaryView,
+    ReplacementReason,
+    choose_candidate,
+    choose_coordinator,
+    replacement_reason,
+)
+
+HEALTHY = PrimaryView(listed=True, leaving=False, unreachable_s=0.0, replicas=2)
+DARK = PrimaryView(listed=True, leaving=False, unreachable_s=0.4, replicas=2)
+
+
+def report(term: int, position: int, lag_s: float = 0.0) -> MemberReport:
+    """A replica's report."""
+    received = LogPosition(term, position)
+    return MemberReport(MemberRole.REPLICA, term, received, 0, lag_s, 0, 3)
+
+
+class TestReplacementReason:
+    """When a primary is replaced."""
+
+    def test_reachable_primary_stays(self) -> None:
+        """Guards against a promotion without a cause."""
+        assert replacement_reason(HEALTHY, {"b": 3.0, "c": 0.0}, registered=3) is None
+
+    def test_primary_that_most_do_not_reach_is_replaced(self) -> None:
+        """Guards against a dark primary that stays."""
+        reason = replacement_reason(DARK, {"b": 0.1, "c": 0.0}, registered=3)
+        assert reason is ReplacementReason.UNREACHABLE
+
+    def test_primary_that_half_of_the_instances_reach_stays(self) -> None:
+        """Guards against a promotion for a fault between some instances and the primary."""
+        assert replacement_reason(DARK, {"b": 0.0}, registered=2) is None
+
+    def test_too_few_instances_in_contact_decide_nothing(self) -> None:
+        """Guards against a promotion by an instance that is cut off itself."""
+        assert replacement_reason(DARK, {}, registered=3) is None
+
+    def test_leaving_and_missing_primaries_are_replaced(self) -> None:
+        """Guards against a primary that ends without a successor."""
+        leaving = PrimaryView(listed=True, leaving=True, unreachable_s=0.0, replicas=1)
+        gone = PrimaryView(listed=False, leaving=False, unreachable_s=0.0, replicas=1)
+        assert replacement_reason(leaving, {}, registered=1) is ReplacementReason.LEAVING
+        assert replacement_reason(gone, {}, registered=1) is ReplacementReason.GONE
+
+    def test_without_a_replica_nothing_is_done(self) -> None:
+        """Guards against a claim that nobody can take over."""
+        alone = PrimaryView(listed=True, leaving=True, unreachable_s=9.0, replicas=0)
+        assert replacement_reason(alone, {}, registered=1) is None
+
+
+class TestCandidate:
+    """Which member takes over."""
+
+    def test_longest_log_wins_and_lag_breaks_ties(self) -> None:
+        """Guards against a promotion that cuts back more than it must."""
+        reports = {"a": report(2, 9), "b": report(2, 10, 0.5), "c": report(2, 10, 0.1)}
+        assert choose_candidate(reports, leaving=[]) == "c"
+
+    def test_later_term_wins_over_a_longer_log(self) -> None:
+        """Guards against a log of a replaced term."""
+        assert choose_candidate({"a": report(1, 99), "b": report(2, 5)}, leaving=[]) == "b"
+
+    def test_leaving_member_is_the_last_choice(self) -> None:
+        """Guards against a primary that has to be replaced again at once."""
+        reports = {"a": report(2, 10), "b": report(2, 9)}
+        assert choose_candidate(reports, leaving=["a"]) == "b"
+        assert choose_candidate({"a": report(2, 10)}, leaving=["a"]) == "a"
+
+    def test_nobody_answers(self) -> None:
+        """Guards against a claim without a candidate."""
+        assert choose_candidate({}, leaving=[]) is None
+
+
+class TestCoordinator:
+    """Who arranges a change of primary."""
+
+    def test_holder_of_the_duty_keeps_it_while_it_answers(self) -> None:
+        """Guards against a holder that changes without need."""
+        assert choose_coordinator(own="a", holder="c", reachable=["b", "c"]) == "c"
+
+    @given(st.sets(st.sampled_from("abcdef"), min_size=1))
+    def test_all_instances_that_see_each_other_agree(self, names: set[str]) -> None:
+        """Guards against two coordinators with the same view."""
+        chosen = {
+            choose_coordinator(own=own, holder="gone", reachable=names - {own}) for own in names
+        }
+        assert len(chosen) == 1
+
+
+class TestEvidence:
+    """How old evidence is."""
+
+    @staticmethod
+    def at(times: list[float]) -> Evidence:
+        """Evidence whose clock gives the last of the times."""
+        return Evidence(lambda: times[-1])
+
+    def test_store_evidence_lapses(self) -> None:
+        """Guards against an instance that trusts an old answer."""
+        times = [10.0]
+        evidence = self.at(times)
+        evidence.note_store(10.0)
+        assert evidence.holds(["b"])
+        times.append(10.0 + EVIDENCE_LIFE_S + 0.01)
+        assert not evidence.holds(["b"])
+
+    def test_all_peers_together_are_evidence_and_the_oldest_counts(self) -> None:
+        """Guards against evidence that leaves out one instance, which may have claimed."""
+        times = [10.5]
+        evidence = self.at(times)
+        evidence.note_peer("b", asked_at=10.4, store_evidence_age_s=None)
+        assert not evidence.holds(["b", "c"])
+        evidence.note_peer("c", asked_at=10.0, store_evidence_age_s=None)
+        assert evidence.holds(["b", "c"])
+        times.append(10.0 + EVIDENCE_LIFE_S + 0.01)
+        assert not evidence.holds(["b", "c"])
+
+    def test_evidence_of_a_peer_keeps_its_age(self) -> None:
+        """Guards against evidence that grows younger on its way."""
+        times = [10.5]
+        evidence = self.at(times)
+        evidence.note_peer("b", asked_at=10.4, store_evidence_age_s=0.3)
+        assert evidence.store_evidence_at() == 10.4 - 0.3
+        assert evidence.holds(["b", "c"])
+        times.append(10.1 + EVIDENCE_LIFE_S + 0.01)
+        assert not evidence.holds(["b", "c"])
+
+    def test_instance_without_peers_needs_nobody(self) -> None:
+        """Guards against a single instance that waits for others."""
+        assert self.at([5.0]).holds([])
