Bound the withdrawal at a shutdown, and give back connections for questions to members

The withdrawal of its registration waited up to 1 s for the store, 0.6 s before the end of the grace period. It now has what is left. It also names the version that it withdraws, and a started process renews its registration, so that a withdrawal that takes effect late cannot withdraw the next process.

Each instance kept up to two connections to each member for questions and commands, besides its share, for good. After a loss of power of all instances, members hold these and refuse new ones for 3 s. They are shared now and close after 0.5 s.

Each of the three tests failed before.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -57,9 +57,8 @@
         self._dispatcher = PeerDispatcher()
         self._transport = platform.peer_transport(settings.peer_address, self._dispatcher)
         self.view = PlatformView(platform, settings.data_centre)
-        member_evidence = MemberEvidence(
-            MemberControl(platform.connector), lambda: self.view.groups, clock
-        )
+        self._member_control = MemberControl(platform.connector)
+        member_evidence = MemberEvidence(self._member_control, lambda: self.view.groups, clock)
         self.control = ControlState(
             settings.instance_id,
             RegisteredInstance(settings.peer_address, settings.data_centre),
@@ -103,8 +102,9 @@
         """Turns the balancer away, then ends the sessions without interrupting a statement."""
         log_event(Event.INSTANCE_STOPPING, sessions=self.sessions.sessions)
         self._draining = True
-        await GatewayShutdown(self.sessions, self._settings.grace_s).run()
-        await self.control.leave()
+        shutdown = GatewayShutdown(self.sessions, self._settings.grace_s)
+        await shutdown.run()
+        await self.control.leave(timeout=shutdown.remaining_s)
         log_event(Event.DRAIN_FINISHED, sessions=self.sessions.sessions)
 
     def stop(self) -> None:
@@ -117,6 +117,7 @@
             self.failover.close()
         self.peers.close()
         self.control.close()
+        self._member_control.release()
         self.view.close()
         self._transport.close()
         self._platform.close()
@@ -154,7 +155,7 @@
             groups=lambda: self.view.groups,
             store=self._platform.store,
             promoter=promoter,
-            members=MemberControl(self._platform.connector),
+            members=self._member_control,
         )
 
     def _state(self) -> GatewayState:
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -31,6 +31,7 @@
 LOADING_STEP_S = 0.01
 PLANNED_DRAIN_S = 0.15  # for statements in progress at a primary that is leaving
 REGISTER_PAUSE_S = 0.3
+RENEWAL_PAUSE_S = 1.0  # nothing waits for a renewal, and each call is priced
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +78,7 @@
         self._instances: dict[str, RegisteredInstance] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._leaving = False
+        self._renewed = False
         self._held = False
         self._drains: dict[str, _Drain] = {}
         self.evidence = Evidence(clock)
@@ -190,15 +192,26 @@
             return
         log_event(Event.INSTANCE_WITHDRAWN, withdrawn=name)
 
-    async def leave(self) -> None:
-        """Withdraws the registration; no primary may be used afterwards."""
+    async def leave(self, *, timeout: float) -> None:
+        """Withdraws the registration; no primary may be used afterwards.
+
+        The withdrawal holds only for the registration of this process: one that takes effect
+        late must not withdraw that of the process which has started in its place.
+
+        Args:
+            timeout: Seconds to wait for the store.
+        """
         self._leaving = True
         key = instance_row(self._name)
+        version = self.records.version(key.key)
         self._instances.pop(self._name, None)
+        if not version:
+            return
         try:
-            await self._store.commit(RowTransaction(deletes=[key]))
-        except (StoreUnavailable, ConditionFailed) as error:
-            log_event(Event.REGISTRATION_FAILED, reason=str(error))
+            async with asyncio.timeout(timeout):
+                await self._store.commit(RowTransaction({key: version}, deletes=[key]))
+        except (StoreUnavailable, ConditionFailed, TimeoutError) as error:
+            log_event(Event.REGISTRATION_FAILED, reason=str(error) or "the store is too slow")
 
     def _note_drain(self, group: str, leadership: Leadership) -> None:
         self._drains.pop(group, None)
@@ -226,19 +239,25 @@
 
     async def _keep_registered(self) -> None:
         while True:
-            if self.feed.loaded and not self.registered and not self._leaving:
+            if self.feed.loaded and not self._leaving and not (self.registered and self._renewed):
                 await self._register()
             await asyncio.sleep(REGISTER_PAUSE_S if self.registered else LOADING_STEP_S)
 
     async def _register(self) -> None:
+        """Writes the registration.
+
+        A process that finds that of its predecessor uses it, and renews it all the same: a
+        withdrawal by the predecessor that takes effect late then fails its condition.
+        """
         key = instance_row(self._name)
         value = encode_record(self._registration)
         try:
             version = await self._store.commit(RowTransaction(puts={key: value}))
         except (StoreUnavailable, ConditionFailed) as error:
             log_event(Event.REGISTRATION_FAILED, reason=str(error))
-            await asyncio.sleep(REGISTER_PAUSE_S)
+            await asyncio.sleep(RENEWAL_PAUSE_S if self.registered else REGISTER_PAUSE_S)
             return
+        self._renewed = True
         self.feed.apply(VersionedRow(CONTROL_TABLE, key.key, value, version))
 
     async def _keep_evidence(self) -> None:
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -109,7 +109,6 @@
             self._watch.cancel()
         for task in self._running.values():
             task.cancel()
-        self._members.release()
 
     async def _run(self) -> None:
         while True:
--- a/src/wigeonpoint/process/gateway/control/_member_control.py
+++ b/src/wigeonpoint/process/gateway/control/_member_control.py
@@ -16,6 +16,9 @@
 from wigeonpoint.version.catalogue import MemberRecord
 
 CALL_TIMEOUT_S = 0.25
+# Longer than the pause between two questions to a member, so that a series of them shares one
+# connection; no longer, because it counts against the member's connection limit.
+IDLE_LIFE_S = 0.5
 
 _FAILURES = (MemberUnreachable, MemberRefused, MemberConnectionLost, TimeoutError)
 
@@ -29,7 +32,8 @@
 
     def __init__(self, connector: MemberConnector) -> None:
         self._connector = connector
-        self._connections: dict[str, MemberConnection] = {}
+        self._idle: dict[str, MemberConnection] = {}
+        self._expiries: dict[str, asyncio.TimerHandle] = {}
 
     async def report(self, record: MemberRecord) -> MemberReport | None:
         """What a member says of itself, None if it does not answer."""
@@ -66,9 +70,8 @@
 
     def release(self) -> None:
         """Closes the connections."""
-        for connection in self._connections.values():
-            connection.close()
-        self._connections.clear()
+        for member_id in list(self._idle):
+            self._close_idle(member_id)
 
     async def _call(
         self,
@@ -77,11 +80,30 @@
     ) -> MemberReport | None:
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                connection = self._connections.pop(record.id, None)
+                connection = self._take_idle(record.id)
                 if connection is None or connection.closed:
                     connection = await self._connector.connect(record, timeout=CALL_TIMEOUT_S)
                 answer = await call(connection)
         except _FAILURES:
             return None  # the caller decides what a missing answer means, and logs it
-        self._connections[record.id] = connection
+        self._keep_idle(record.id, connection)
         return answer
+
+    def _take_idle(self, member_id: str) -> MemberConnection | None:
+        expiry = self._expiries.pop(member_id, None)
+        if expiry is not None:
+            expiry.cancel()
+        return self._idle.pop(member_id, None)
+
+    def _keep_idle(self, member_id: str, connection: MemberConnection) -> None:
+        if member_id in self._idle:
+            connection.close()  # another call to the member ended first
+            return
+        self._idle[member_id] = connection
+        loop = asyncio.get_running_loop()
+        self._expiries[member_id] = loop.call_later(IDLE_LIFE_S, self._close_idle, member_id)
+
+    def _close_idle(self, member_id: str) -> None:
+        connection = self._take_idle(member_id)
+        if connection is not None:
+            connection.close()
--- a/src/wigeonpoint/process/gateway/control/_member_evidence.py
+++ b/src/wigeonpoint/process/gateway/control/_member_evidence.py
@@ -83,7 +83,6 @@
             self._task.cancel()
         for task in self._asking.values():
             task.cancel()
-        self._members.release()
 
     async def _run(self, needed: Callable[[], bool]) -> None:
         while True:
--- a/tests/gateway/_platform.py
+++ b/tests/gateway/_platform.py
@@ -47,6 +47,7 @@
     oldest: int = 0
     down: bool = False
     lose_answers: int = 0
+    silent_s: float = UNREACHABLE_S  # until a call that is not answered is given up
     calls: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -141,7 +142,7 @@
     async def _call(self) -> None:
         self._store.calls += 1
         if not self._reachable():
-            await asyncio.sleep(UNREACHABLE_S)
+            await asyncio.sleep(self._store.silent_s)
         else:
             await asyncio.sleep(CALL_S)
         self._check()
--- a/tests/gateway/_world.py
+++ b/tests/gateway/_world.py
@@ -34,6 +34,7 @@
     "session": (SERVICE, "SESSION"),
     "aged": (SERVICE, "AGED"),
 }
+GRACE_S = 6.0
 LISTING_S = 0.1  # members report a change of their state this often
 
 
@@ -186,7 +187,7 @@
             seeds=tuple(f"g-{one}:1" for one in DATA_CENTRES),
             store_address=STORE,
             promotion_address="promotion",
-            grace_s=6.0,
+            grace_s=GRACE_S,
             leaving_s=7.0,
         )
         loop = asyncio.get_running_loop()
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -8,10 +8,12 @@
 import pytest
 
 from tests.gateway._members import Entry
-from tests.gateway._world import Caller, World
+from tests.gateway._world import GRACE_S, SERVICE, Caller, World
 from wigeonpoint.backend import LogPosition, MemberRole
 from wigeonpoint.connection.session import CallerGone, MemberReport
-from wigeonpoint.process.gateway.control import vouched
+from wigeonpoint.errors import ConditionFailed
+from wigeonpoint.process.gateway.control import CONTROL_TABLE, vouched
+from wigeonpoint.services import RowKey, RowTransaction
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
@@ -251,6 +253,23 @@
                 await asyncio.sleep(0.1)
             assert served == 20
 
+    async def test_connections_for_questions_to_members_are_given_back(self) -> None:
+        """Guards against members at their limit because instances keep such connections."""
+        async with World() as world:
+            caller = await world.caller("g-stgallen", "current")
+            world.kill("g-sargans")
+            world.store.down = True
+            await asyncio.sleep(1.0)
+            for number in range(10):
+                await caller.query(f"WRITE a {number}")
+                await asyncio.sleep(0.1)
+            world.store.down = False
+            await asyncio.sleep(2.0)
+            pools = [node.gateway.view.groups[SERVICE] for node in world.nodes.values()]
+            for member in world.group.members.values():
+                links = sum(pool.open for group in pools if (pool := group.pool(member.record.id)))
+                assert member.connections == links
+
     async def test_promotion_waits_for_the_store(self) -> None:
         """Guards against a promotion without a claim."""
         async with World() as world:
@@ -385,3 +404,27 @@
             await asyncio.sleep(1.5)
             assert (await caller.query("COMMIT")).served
             await draining
+
+    async def test_silent_store_does_not_outlast_the_grace_period(self) -> None:
+        """Guards against a process that is killed while it waits to withdraw its registration."""
+        async with World() as world:
+            gateway = world.nodes["g-chur"].gateway
+            world.store.down, world.store.silent_s = True, 60.0
+            caller = await world.caller("g-chur", "current")
+            await caller.query("BEGIN READ")
+            began = asyncio.get_running_loop().time()
+            await gateway.drain()
+            assert asyncio.get_running_loop().time() - began < GRACE_S
+
+    async def test_late_withdrawal_leaves_the_next_process_registered(self) -> None:
+        """Guards against a restarted instance for which claimants do not wait."""
+        async with World() as world:
+            late = world.nodes["g-chur"].gateway.control
+            version = late.records.version("instance/g-chur")
+            world.kill("g-chur")
+            control = world.start("g-chur", "chur").control
+            await asyncio.sleep(0.5)
+            key = RowKey(CONTROL_TABLE, "instance/g-chur")
+            with pytest.raises(ConditionFailed):
+                world.store.commit(RowTransaction({key: version}, deletes=[key]))
+            assert control.registered
