Notice a primary behind a cut sooner, and wait for no member that is known to be dark

A cut was noticed when a ping had timed out (0.25 s), and a primary replaced 0.3 s after this instance's second failed attempt. A ping that is late by 0.08 s now makes the members near that peer suspect, and 0.15 s are enough when every instance that answers has failed to reach the primary. A peer that stopped answering no longer counts as one that reaches it. The question before the suspension leaves out members that do not answer; their timeout was on the path of the claim. Claims are tried again after 0.1 s.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -138,7 +138,7 @@
             seeds=list(settings.seeds),
             address=settings.peer_address,
             data_centre=settings.data_centre,
-            on_lost=self.view.probe_data_centre,
+            on_late=self.view.probe_data_centre,
             on_unreachable=self.view.probe_primary,
         )
         peers.register(self._dispatcher)
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -23,7 +23,7 @@
 from wigeonpoint.version.catalogue import Leadership, LeadershipPhase
 
 STEP_S = 0.05
-RETRY_PAUSE_S = 0.3
+RETRY_PAUSE_S = 0.1
 LOST_S = 8.0  # an instance that restarts, or is cut off for a while, is back before
 STUCK_CLAIM_S = 4.0  # a claim that takes longer, with its claimant in contact, is taken over
 LOST_CLAIMANT_S = 0.6  # the same where the claimant does not answer
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -27,9 +27,12 @@
 
 PING_S = 0.15
 PING_TIMEOUT_S = 0.25
+# An answer that is later makes the members near the peer suspect, which costs a connection each.
+LATE_PING_S = 0.08
 FETCH_TIMEOUT_S = 0.6
 BEHIND_PINGS = 2  # an own feed that works brings a change before this many pings
-UNREACHABLE_LIFE_S = 0.8  # a peer's view of primaries is of no use when older
+STATE_LIFE_S = 0.8
+VIEW_LIFE_S = 0.35  # two pings; a peer's view of primaries is of no use when older
 
 OwnState = Callable[[], GatewayState]
 
@@ -45,7 +48,7 @@
         seeds: Addresses to ask while no instance is known.
         address: Address of this instance.
         data_centre: Its data centre.
-        on_lost: Called with the data centre of a peer that stops answering.
+        on_late: Called with the data centre of a peer that stops answering.
         on_unreachable: Called with a group whose primary a peer does not reach.
     """
 
@@ -59,7 +62,7 @@
         seeds: list[str],
         address: str,
         data_centre: str,
-        on_lost: Callable[[str], None],
+        on_late: Callable[[str], None],
         on_unreachable: Callable[[str], None],
     ) -> None:
         self._control = control
@@ -68,7 +71,7 @@
         self._own_state = own_state
         self._seeds = [seed for seed in seeds if seed != address]
         self._address = address
-        self._on_lost = on_lost
+        self._on_late = on_late
         self._on_unreachable = on_unreachable
         self._ping = GatewayPing(control.name, address, data_centre)
         self._pingers: dict[str, asyncio.Task[None]] = {}
@@ -93,11 +96,8 @@
             task.cancel()
 
     def state(self, name: str) -> GatewayState | None:
-        """What a peer said within the life of evidence, None if it does not answer."""
-        known = self._states.get(name)
-        if known is None or self._control.evidence.now - known[0] > UNREACHABLE_LIFE_S:
-            return None
-        return known[1]
+        """What a peer said lately, None if it does not answer."""
+        return self._state(name, STATE_LIFE_S)
 
     def lost_everywhere(self, name: str) -> bool:
         """Whether no peer that answers is in contact with an instance."""
@@ -106,13 +106,19 @@
 
     def unreachable_s(self, group: str) -> dict[str, float]:
         """For each peer that answers, the seconds for which it has not reached a primary."""
-        states = {name: self.state(name) for name in self._control.peers}
+        states = {name: self._state(name, VIEW_LIFE_S) for name in self._control.peers}
         return {
             name: state.unreachable.get(group, 0.0)
             for name, state in states.items()
             if state is not None
         }
 
+    def _state(self, name: str, life_s: float) -> GatewayState | None:
+        known = self._states.get(name)
+        if known is None or self._control.evidence.now - known[0] > life_s:
+            return None
+        return known[1]
+
     async def announce(self, message: AnnounceLeadership, *, timeout: float) -> set[str]:
         """Tells all peers of a record.
 
@@ -155,6 +161,7 @@
         reached = True
         while True:
             asked_at = self._control.evidence.now
+            late = asyncio.get_running_loop().call_later(LATE_PING_S, self._report_late, address)
             try:
                 state = await self._transport.request(
                     address, self._ping, GatewayState, timeout=PING_TIMEOUT_S
@@ -164,19 +171,21 @@
                 self._transport.disconnect(address)
                 if reached:
                     log_event(Event.PEER_LOST, address=address, reason=error.message)
-                    self._report_lost(address)
+                    self._report_late(address)
                 reached = False
             else:
                 if not reached:
                     log_event(Event.PEER_REGAINED, address=address, peer=state.name)
                 reached = True
                 self._note(state, asked_at)
+            finally:
+                late.cancel()
             await asyncio.sleep(PING_S)
 
-    def _report_lost(self, address: str) -> None:
+    def _report_late(self, address: str) -> None:
         for peer in self._control.peers.values():
             if peer.address == address:
-                self._on_lost(peer.data_centre)
+                self._on_late(peer.data_centre)
 
     def _note(self, state: GatewayState, asked_at: float) -> None:
         self._states[state.name] = (asked_at, state)
--- a/src/wigeonpoint/process/gateway/control/_policy.py
+++ b/src/wigeonpoint/process/gateway/control/_policy.py
@@ -14,6 +14,8 @@
 
 # Two failed attempts to connect, so that one lost packet promotes nobody.
 DARK_AFTER_S = 0.3
+# One failed attempt of each instance tells as much.
+AGREED_DARK_AFTER_S = 0.15
 
 
 class ReplacementReason(Enum):
@@ -79,7 +81,9 @@
     if view.leaving:
         return ReplacementReason.LEAVING
     missing = sum(1 for seconds in [view.unreachable_s, *peers.values()] if seconds > 0)
-    if view.unreachable_s >= DARK_AFTER_S and 2 * missing > voters:
+    agreed = missing == voters and voters > 1
+    dark_after_s = AGREED_DARK_AFTER_S if agreed else DARK_AFTER_S
+    if view.unreachable_s >= dark_after_s and 2 * missing > voters:
         return ReplacementReason.UNREACHABLE
     return None
 
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -182,18 +182,21 @@
         Raises:
             Superseded: No majority answers.
         """
-        records = [pool.record for pool in self._group.pools]
-        reports = await self._members.reports(records)
-        known = [report for report in reports.values() if report is not None]
-        term = max((report.newest_term for report in known), default=0) + 1
+        pools = list(self._group.pools)
+        reports = await self._members.reports(
+            [pool.record for pool in pools if pool.health.available]
+        )
+        known = [report.newest_term for report in reports.values() if report is not None]
+        term = max([self._group.samples.term, *known]) + 1
         followers = [
-            record
-            for record in records
-            if (report := reports.get(record.id)) is not None and report.role is MemberRole.REPLICA
+            pool.record
+            for pool in pools
+            if (report := reports.get(pool.record.id)) is not None
+            and report.role is MemberRole.REPLICA
         ]
         suspended = await self._members.suspend(followers, term)
         log_event(Event.MEMBERS_SUSPENDED, group=claim.group, term=term, members=sorted(suspended))
-        if len(suspended) < majority(len(records)):
+        if len(suspended) < majority(len(pools)):
             raise Superseded("an instance is missing and no majority of the members answers")
         return self._control.evidence.now
 
--- a/tests/gateway/test_policy.py
+++ b/tests/gateway/test_policy.py
@@ -39,6 +39,18 @@
         reason = replacement_reason(DARK, {"b": 0.1, "c": 0.0}, registered=3)
         assert reason is ReplacementReason.UNREACHABLE
 
+    def test_primary_that_no_instance_reaches_is_replaced_sooner(self) -> None:
+        """Guards against a gap in which every instance knows already that the primary is gone."""
+        view = PrimaryView(listed=True, leaving=False, unreachable_s=0.16, replicas=2)
+        reason = replacement_reason(view, {"b": 0.1, "c": 0.05}, registered=4)
+        assert reason is ReplacementReason.UNREACHABLE
+        assert replacement_reason(view, {"b": 0.1, "c": 0.0}, registered=4) is None
+
+    def test_single_instance_takes_its_own_word_for_it_only_after_a_second_try(self) -> None:
+        """Guards against a promotion for one lost packet where there is nobody to agree."""
+        view = PrimaryView(listed=True, leaving=False, unreachable_s=0.16, replicas=2)
+        assert replacement_reason(view, {}, registered=1) is None
+
     def test_primary_that_half_of_the_instances_reach_stays(self) -> None:
         """Guards against a promotion for a fault between some instances and the primary."""
         assert replacement_reason(DARK, {"b": 0.0}, registered=2) is None
