Hold no failure behind a cut against a member, and open no connections that are not used

Failures count from the moment on from which primaries may be used again; at that moment, and when a peer is back, suspects are tried at once instead of after up to 1 s.

Only a member that does not answer is probed. An instance borrows one sixteenth of a member's limit for waiting work instead of all of it, which leaves connections for instances that return.

The tests of the probes, of the borrowed connections and of the failures failed first; the one that plays the return from a cut passed before too, the phase of the retries decides.

--- a/src/wigeonpoint/connection/session/_member_health.py
+++ b/src/wigeonpoint/connection/session/_member_health.py
@@ -19,6 +19,7 @@
         self._failures = 0
         self._paused_until = 0.0
         self._failed_since: float | None = None
+        self._failed_at = float("-inf")
         self._answered_at: float | None = None
 
     @property
@@ -34,15 +35,27 @@
     @property
     def failed_for_s(self) -> float:
         """Seconds since the member stopped answering, 0 while it answers."""
-        if self._failed_since is None:
-            return 0.0
-        return asyncio.get_running_loop().time() - self._failed_since
+        return self.failed_since_s(float("-inf"))
 
     @property
     def answered_at(self) -> float | None:
         """Event-loop time of the last answer or accepted connection."""
         return self._answered_at
 
+    def failed_since_s(self, start: float) -> float:
+        """Seconds for which the member is known not to answer, counted from a time on.
+
+        Args:
+            start: Event-loop time, in seconds; failures before it do not count.
+        """
+        if self._failed_since is None or self._failed_at < start:
+            return 0.0
+        return asyncio.get_running_loop().time() - max(self._failed_since, start)
+
+    def retry_now(self) -> None:
+        """Lets the next attempt to connect be made at once."""
+        self._paused_until = 0.0
+
     def note_answer(self) -> None:
         """Records an answer or an accepted connection."""
         self._answered_at = asyncio.get_running_loop().time()
@@ -55,5 +68,6 @@
         now = asyncio.get_running_loop().time()
         if self._failed_since is None:
             self._failed_since = now
+        self._failed_at = now
         self._paused_until = now + min(FIRST_PAUSE_S * 2**self._failures, LONGEST_PAUSE_S)
         self._failures = min(self._failures + 1, 16)
--- a/src/wigeonpoint/process/gateway/_executor.py
+++ b/src/wigeonpoint/process/gateway/_executor.py
@@ -155,7 +155,7 @@
                 and self._guard.may_send(work.group.name, pool.record.id)
             ):
                 return pool
-            if pool is not None:
+            if pool is not None and not pool.health.available:
                 pool.probe()
             remaining = give_up - loop.time()
             if remaining < SHORTEST_WAIT_S:
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -66,6 +66,7 @@
             group=self.view.group,
             member_evidence=member_evidence,
             clock=clock,
+            on_current=self.view.retry_suspects,
         )
         self.executor = StatementExecutor(self.control)
         self.transactions = TransactionRunner(self.executor)
@@ -139,6 +140,7 @@
             address=settings.peer_address,
             data_centre=settings.data_centre,
             on_late=self.view.probe_data_centre,
+            on_regained=self.view.retry_suspects,
             on_unreachable=self.view.probe_primary,
         )
         peers.register(self._dispatcher)
@@ -162,9 +164,9 @@
         """What peers are told about this instance."""
         names = self._platform.tables
         unreachable = {
-            name: group.primary.health.failed_for_s
+            name: seconds
             for name, group in self.view.groups.items()
-            if group.primary is not None and not group.primary.health.available
+            if (seconds := self.control.unreachable_s(group.primary))
         }
         return GatewayState(
             name=self._settings.instance_id,
--- a/src/wigeonpoint/process/gateway/_member_pool.py
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -32,6 +32,9 @@
 STARTING_S = 1.2
 PROVEN_ALIVE_S = 0.1  # an answer this young makes a late one no sign of a fault
 SILENT_LINK_S = 0.2  # a statement unanswered for this long at an unreachable member is given up
+# Of the limit, for work that waits. Open connections beyond what the slots need only wait at the
+# member, and after a loss of power they keep the instances from returning.
+BORROWED_SHARE = 1 / 16
 SPARE_LIFE_S = 0.5  # idle links above this instance's share are closed after this time
 MIN_RETRY_MS = 20
 HOLD_WEIGHT = 0.1
@@ -41,8 +44,8 @@
 class MemberPool:
     """Links to one member.
 
-    An instance keeps to its share of the member's connection limit. It borrows more while work
-    waits, and returns to what it has when the member refuses.
+    An instance keeps to its share of the member's connection limit. It borrows a few more while
+    work waits, and returns to what it has when the member refuses.
 
     Args:
         record: The member.
@@ -256,7 +259,8 @@
     def _most(self) -> int:
         if asyncio.get_running_loop().time() - self._started_at < STARTING_S:
             return max(self._own_share() // 2, 1)
-        return max(self._limit() if self._schedule else self._own_share(), 1)
+        borrowed = max(int(self._limit() * BORROWED_SHARE), 1) if self._schedule else 0
+        return min(self._own_share() + borrowed, max(self._limit(), 1))
 
     def _own_share(self) -> int:
         return max(int(self._share() * SHARE_OF_LIMIT), 1)
--- a/src/wigeonpoint/process/gateway/_view.py
+++ b/src/wigeonpoint/process/gateway/_view.py
@@ -78,6 +78,18 @@
         if known is not None and known.primary is not None:
             known.primary.note_late()
 
+    def retry_suspects(self, data_centre: str | None = None) -> None:
+        """Tries at once to connect to members that did not answer, after a fault has perhaps ended.
+
+        Args:
+            data_centre: Only members there; all members if None.
+        """
+        for group in self._groups.values():
+            for pool in group.pools:
+                if data_centre in (None, pool.record.data_centre) and not pool.health.available:
+                    pool.health.retry_now()
+                    pool.probe()
+
     def start(self) -> None:
         """Starts to follow the tables."""
         self.operators.start()
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -9,6 +9,7 @@
 from wigeonpoint.errors import ConditionFailed, StoreUnavailable
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S, Clock, Evidence
 from wigeonpoint.process.gateway.control._member_evidence import MemberEvidence
@@ -29,6 +30,7 @@
 ASK_AFTER_S = 0.4 * EVIDENCE_LIFE_S
 STEP_S = 0.08
 LOADING_STEP_S = 0.01
+WATCH_STEP_S = 0.05
 PLANNED_DRAIN_S = 0.15  # for statements in progress at a primary that is leaving
 REGISTER_PAUSE_S = 0.3
 RENEWAL_PAUSE_S = 1.0  # nothing waits for a renewal, and each call is priced
@@ -57,6 +59,7 @@
         group: Gives a group by name.
         member_evidence: Evidence from the members themselves.
         clock: Seconds, counted also while the machine is suspended.
+        on_current: Called when primaries may be used again.
     """
 
     def __init__(
@@ -68,18 +71,20 @@
         group: Callable[[str], Group],
         member_evidence: MemberEvidence,
         clock: Clock,
+        on_current: Callable[[], None] = lambda: None,
     ) -> None:
         self._name = name
         self._registration = registration
         self._store = store
         self._group = group
         self._member_evidence = member_evidence
+        self._on_current = on_current
+        self._current_since: float | None = None
         self._leaderships: dict[str, Leadership] = {}
         self._instances: dict[str, RegisteredInstance] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._leaving = False
         self._renewed = False
-        self._held = False
         self._drains: dict[str, _Drain] = {}
         self.evidence = Evidence(clock)
         self.feed = TableFeed(store, CONTROL_TABLE, self._apply_rows)
@@ -128,6 +133,21 @@
         """Whether primaries may be used at all."""
         return self.registered and self.evidence.holds(self.peers)
 
+    @property
+    def current_since(self) -> float | None:
+        """Event-loop time, in seconds, since when primaries may be used; None while they may not.
+
+        What was seen of other instances and of members before may come from behind a cut.
+        """
+        return self._current_since if self.current else None
+
+    def unreachable_s(self, pool: MemberPool | None) -> float:
+        """Seconds for which a member has not been reached, not counting what a cut may explain."""
+        since = self.current_since
+        if pool is None or since is None:
+            return 0.0
+        return pool.health.failed_since_s(since)
+
     def may_send(self, group: str, member_id: str) -> bool:
         """Whether a statement may be sent to a member as the primary of a group."""
         if not self.registered or self._group(group).primary_id != member_id:
@@ -172,6 +192,7 @@
         self._tasks = [
             asyncio.create_task(self._keep_registered()),
             asyncio.create_task(self._keep_evidence()),
+            asyncio.create_task(self._watch_evidence()),
         ]
 
     def close(self) -> None:
@@ -264,7 +285,6 @@
         while True:
             if self.feed.loaded and self.evidence.age_s(self.peers) > ASK_AFTER_S:
                 await self._ask_store()
-            self._log_change()
             # Until the control rows are there, nothing can be served that needs a primary.
             await asyncio.sleep(STEP_S if self.feed.loaded else LOADING_STEP_S)
 
@@ -277,18 +297,25 @@
             return
         self.evidence.note_store(asked_at)
 
-    def _log_change(self) -> None:
-        current = self.current
-        if current != self._held:
-            self._held = current
-            event = Event.EVIDENCE_REGAINED if current else Event.EVIDENCE_LOST
-            log_event(
-                event,
-                age_ms=min(int(self.evidence.age_s(self.peers) * 1000), 1_000_000),
-                registered=self.registered,
-                in_contact=len(self.evidence.in_contact(self.peers)),
-                peers=len(self.peers),
-            )
+    async def _watch_evidence(self) -> None:
+        """Notes when evidence is lost and regained."""
+        while True:
+            if self.current != (self._current_since is not None):
+                self._note_change()
+            await asyncio.sleep(WATCH_STEP_S)
+
+    def _note_change(self) -> None:
+        regained = self._current_since is None
+        self._current_since = asyncio.get_running_loop().time() if regained else None
+        log_event(
+            Event.EVIDENCE_REGAINED if regained else Event.EVIDENCE_LOST,
+            age_ms=min(int(self.evidence.age_s(self.peers) * 1000), 1_000_000),
+            registered=self.registered,
+            in_contact=len(self.evidence.in_contact(self.peers)),
+            peers=len(self.peers),
+        )
+        if regained:
+            self._on_current()
 
 
 def _order(leadership: Leadership) -> tuple[int, bool]:
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -63,7 +63,6 @@
         self._not_before: dict[str, float] = {}
         self._claimed_since: dict[str, tuple[int, float]] = {}
         self._lost_since: dict[str, float] = {}
-        self._current_since: float | None = None
         self._watch: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -109,14 +108,11 @@
         Behind a cut it reaches neither the other primaries nor their claimants, and knows neither
         the newest claims nor the holder of the duty.
         """
-        now = asyncio.get_running_loop().time()
-        if not self._control.current:
-            self._current_since = None
+        since = self._control.current_since
+        if since is None:
             self._claimed_since.clear()
             return False
-        if self._current_since is None:
-            self._current_since = now
-        return now - self._current_since >= SETTLING_S
+        return asyncio.get_running_loop().time() - since >= SETTLING_S
 
     def _due(self, name: str) -> bool:
         now = asyncio.get_running_loop().time()
@@ -160,7 +156,7 @@
             # Without any word of a primary the members have only just started.
             listed=pool is not None or primary_id is None,
             leaving=pool is not None and pool.record.leaving,
-            unreachable_s=pool.health.failed_for_s if pool is not None else 0.0,
+            unreachable_s=self._control.unreachable_s(pool),
             replicas=len(replicas),
         )
 
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -48,7 +48,8 @@
         seeds: Addresses to ask while no instance is known.
         address: Address of this instance.
         data_centre: Its data centre.
-        on_late: Called with the data centre of a peer that stops answering.
+        on_late: Called with the data centre of a peer whose answer is late.
+        on_regained: Called with the data centre of a peer that answers again.
         on_unreachable: Called with a group whose primary a peer does not reach.
     """
 
@@ -63,6 +64,7 @@
         address: str,
         data_centre: str,
         on_late: Callable[[str], None],
+        on_regained: Callable[[str], None],
         on_unreachable: Callable[[str], None],
     ) -> None:
         self._control = control
@@ -72,6 +74,7 @@
         self._seeds = [seed for seed in seeds if seed != address]
         self._address = address
         self._on_late = on_late
+        self._on_regained = on_regained
         self._on_unreachable = on_unreachable
         self._ping = GatewayPing(control.name, address, data_centre)
         self._pingers: dict[str, asyncio.Task[None]] = {}
@@ -161,7 +164,9 @@
         reached = True
         while True:
             asked_at = self._control.evidence.now
-            late = asyncio.get_running_loop().call_later(LATE_PING_S, self._report_late, address)
+            late = asyncio.get_running_loop().call_later(
+                LATE_PING_S, self._report, address, self._on_late
+            )
             try:
                 state = await self._transport.request(
                     address, self._ping, GatewayState, timeout=PING_TIMEOUT_S
@@ -171,21 +176,22 @@
                 self._transport.disconnect(address)
                 if reached:
                     log_event(Event.PEER_LOST, address=address, reason=error.message)
-                    self._report_late(address)
+                    self._report(address, self._on_late)
                 reached = False
             else:
                 if not reached:
                     log_event(Event.PEER_REGAINED, address=address, peer=state.name)
+                    self._report(address, self._on_regained)
                 reached = True
                 self._note(state, asked_at)
             finally:
                 late.cancel()
             await asyncio.sleep(PING_S)
 
-    def _report_late(self, address: str) -> None:
+    def _report(self, address: str, listener: Callable[[str], None]) -> None:
         for peer in self._control.peers.values():
             if peer.address == address:
-                self._on_late(peer.data_centre)
+                listener(peer.data_centre)
 
     def _note(self, state: GatewayState, asked_at: float) -> None:
         self._states[state.name] = (asked_at, state)
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -194,6 +194,22 @@
             assert result.served
             assert gap <= UNCONFIRMED_GAP_S
 
+    async def test_instance_without_evidence_opens_no_connections_to_its_primary(self) -> None:
+        """Guards against a member that an instance behind a cut floods with connections."""
+        async with World() as world:
+            inside = await world.caller("g-chur", "current")
+            await write_values(inside, 3)
+            world.isolate("chur")
+            for _ in range(60):
+                if inside.closed:
+                    break
+                with suppress(CallerGone):
+                    await inside.query("WRITE a x")
+                await asyncio.sleep(0.02)
+            pool = world.nodes["g-chur"].gateway.view.groups[SERVICE].pool("m-chur")
+            assert pool is not None
+            assert pool.opened + pool.refused <= 10
+
     async def test_isolated_gateway_turns_the_balancer_away_and_returns(self) -> None:
         """Guards against callers that stay where nothing current can be served."""
         async with World() as world:
@@ -225,6 +241,29 @@
             assert world.calls == []
             assert world.group.leader().record.id == "m-chur"
 
+    @pytest.mark.parametrize("healed_after_s", [0.0, 0.2, 0.4, 0.6, 0.8])
+    async def test_return_from_a_cut_is_no_reason_to_replace_the_new_primary(
+        self, healed_after_s: float
+    ) -> None:
+        """Guards against failures of the time behind the cut that are held against a member."""
+        async with World() as world:
+            world.start("g-chur-2", "chur")
+            await asyncio.sleep(1.0)
+            world.isolate("chur")
+            callers = [await world.caller(name, "aged") for name in ("g-chur", "g-chur-2")]
+            for _ in range(100):
+                for caller in callers:
+                    if not caller.closed:
+                        with suppress(CallerGone):
+                            await caller.query("READ a")
+                await asyncio.sleep(0.04)
+            assert [call.member_id for call in world.calls] == ["m-stgallen"]
+            await asyncio.sleep(healed_after_s)
+            world.network.heal()
+            world.network.cut("chur", "sargans")  # the holder of the duty stays out of sight
+            await asyncio.sleep(3.0)
+            assert len(world.calls) == 1
+
     async def test_instance_that_cannot_reach_the_primary_promotes_nobody_alone(self) -> None:
         """Guards against a false promotion by an instance with a fault of its own."""
         async with World() as world:
--- a/tests/gateway/test_member_pool.py
+++ b/tests/gateway/test_member_pool.py
@@ -8,7 +8,7 @@
 
 from tests.fakes import FakeNetwork
 from tests.gateway._members import ModelConnector, ModelGroup, ModelMember
-from wigeonpoint.connection.session import MemberLink
+from wigeonpoint.connection.session import MemberHealth, MemberLink
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.process.gateway._member_pool import STARTING_S, MemberPool
 from wigeonpoint.request import Rank
@@ -25,11 +25,17 @@
         group = ModelGroup("signplan", FakeNetwork(data_centres={"here": "chur"}))
         self.member: ModelMember = group.add("m", "chur", primary=True)
         self.member.connection_limit = limit
-        self.pool = MemberPool(
+        self._connector = ModelConnector({"signplan": group}, "chur")
+        self._share = share
+        self.pool = self.another_pool()
+
+    def another_pool(self) -> MemberPool:
+        """The pool of another instance."""
+        return MemberPool(
             self.member.record,
-            ModelConnector({"signplan": group}, "chur"),
-            share=lambda: share,
-            limit=lambda: limit,
+            self._connector,
+            share=lambda: self._share,
+            limit=lambda: self.member.connection_limit,
         )
 
     async def started(self) -> Member:
@@ -37,13 +43,21 @@
         await asyncio.sleep(STARTING_S)
         return self
 
-    async def work(self, rank: Rank, served: list[Rank], *, deadline_s: float = 60.0) -> None:
+    async def work(
+        self,
+        rank: Rank,
+        served: list[Rank],
+        *,
+        deadline_s: float = 60.0,
+        pool: MemberPool | None = None,
+    ) -> None:
         """Takes a link, holds it for a while and returns it."""
+        pool = pool or self.pool
         deadline = asyncio.get_running_loop().time() + deadline_s
-        link: MemberLink = await self.pool.acquire(rank, caller=str(rank), deadline=deadline)
+        link: MemberLink = await pool.acquire(rank, caller=str(rank), deadline=deadline)
         served.append(rank)
         await asyncio.sleep(HOLD_S)
-        self.pool.release(link)
+        pool.release(link)
 
 
 class TestFloods:
@@ -87,6 +101,33 @@
         await asyncio.gather(*queue)
 
 
+class TestMemberHealth:
+    """For how long a member is known not to answer."""
+
+    async def test_failures_behind_a_cut_do_not_count_after_it(self) -> None:
+        """Guards against a new primary that is replaced for what was seen of it behind a cut."""
+        health = MemberHealth()
+        health.note_unreachable()
+        await asyncio.sleep(1.0)
+        returned_at = asyncio.get_running_loop().time()
+        await asyncio.sleep(0.2)
+        assert health.failed_since_s(returned_at) == 0.0
+        assert health.failed_for_s == pytest.approx(1.2)
+        health.note_unreachable()
+        await asyncio.sleep(0.3)
+        assert health.failed_since_s(returned_at) == pytest.approx(0.5)
+
+    async def test_suspect_is_tried_at_once_when_asked_to(self) -> None:
+        """Guards against a member that stays out of use for its whole pause after a cut."""
+        health = MemberHealth()
+        for _ in range(5):
+            health.note_unreachable()
+        assert not health.may_try
+        health.retry_now()
+        assert health.may_try
+        assert not health.available
+
+
 class TestConnections:
     """How many connections are held."""
 
@@ -100,6 +141,17 @@
         member.pool.close_spare()
         assert member.pool.open <= 2
 
+    async def test_flood_at_all_instances_leaves_connections_for_a_restart(self) -> None:
+        """Guards against a member that refuses every instance after all have lost power."""
+        first = await Member().started()
+        pools = [first.pool, *(first.another_pool() for _ in range(3))]
+        await asyncio.sleep(STARTING_S)
+        served: list[Rank] = []
+        work = [first.work(Rank.URGENT, served, pool=pool) for pool in pools for _ in range(30)]
+        await asyncio.gather(*work)
+        assert len(served) == 120
+        assert first.member.peak_connections <= 16 - len(pools)
+
     async def test_instances_that_start_take_half_of_their_share(self) -> None:
         """Guards against the first to start that leaves nothing for the others."""
         member = Member()
