Let lost answers use up no connections

Each held its link until the statement's deadline (0.8 s), or for 2 s after a read had been given up, and the rest of the work was refused for want of a link. Links whose answer is overdue do not count against the share any more, and reads that have been given up end after 0.5 s, or four times what is late at that member.

The test failed first.

--- a/src/wigeonpoint/process/gateway/_executor.py
+++ b/src/wigeonpoint/process/gateway/_executor.py
@@ -37,7 +37,9 @@
 WAIT_SHARE = 0.2
 PRIMARY_CHECK_S = 0.02
 SHORTEST_WAIT_S = 0.001
-ABANDONED_LIFE_S = 2.0  # after this an answer is taken for lost, and its link is closed
+# After this an answer that nobody waits for is taken for lost, and its link is closed.
+ABANDONED_LIFE_S = 0.5
+ABANDONED_LATE_FACTOR = 4  # the same, as a multiple of the time after which an answer is late
 
 
 @dataclass(frozen=True, slots=True)
@@ -297,7 +299,7 @@
         primary = pool.record.id == work.group.primary_id
         after = None if primary else requirement.position
         try:
-            async with asyncio.timeout(max(work.remaining_s, 0) + ABANDONED_LIFE_S):
+            async with asyncio.timeout(max(work.remaining_s, 0) + abandoned_life_s(pool)):
                 answer = await exchange.run(after=after)
         except NotSent as refused:
             return refused.answer
@@ -349,9 +351,14 @@
         return True
 
 
+def abandoned_life_s(pool: MemberPool) -> float:
+    """Seconds for which an answer is awaited after its statement has been given up."""
+    return max(ABANDONED_LIFE_S, ABANDONED_LATE_FACTOR * pool.latency.late_after_s)
+
+
 async def _abandon(task: asyncio.Task[Any], pool: MemberPool) -> None:
     """Waits for an attempt that nobody needs any more, so that its link can be used again."""
-    done, _ = await asyncio.wait({task}, timeout=ABANDONED_LIFE_S)
+    done, _ = await asyncio.wait({task}, timeout=abandoned_life_s(pool))
     if not done:
         pool.note_late()
         task.cancel()
--- a/src/wigeonpoint/process/gateway/_member_pool.py
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -35,6 +35,7 @@
 # Of the limit, for work that waits. Open connections beyond what the slots need only wait at the
 # member, and after a loss of power they keep the instances from returning.
 BORROWED_SHARE = 1 / 16
+OVERDUE_FLOOR_S = 0.1  # an answer that takes longer than this, and than usual, is overdue
 SPARE_LIFE_S = 0.5  # idle links above this instance's share are closed after this time
 MIN_RETRY_MS = 20
 HOLD_WEIGHT = 0.1
@@ -260,7 +261,17 @@
         if asyncio.get_running_loop().time() - self._started_at < STARTING_S:
             return max(self._own_share() // 2, 1)
         borrowed = max(int(self._limit() * BORROWED_SHARE), 1) if self._schedule else 0
-        return min(self._own_share() + borrowed, max(self._limit(), 1))
+        return max(min(self._own_share() + borrowed, self._limit()), 1)
+
+    def _overdue(self) -> int:
+        """Links whose answer is probably lost; work that waits must not wait for them too."""
+        overdue_s = max(self.latency.late_after_s, OVERDUE_FLOOR_S)
+        sent_before = asyncio.get_running_loop().time() - overdue_s
+        return sum(
+            1
+            for link in self._in_use
+            if link.waiting_since is not None and link.waiting_since < sent_before
+        )
 
     def _own_share(self) -> int:
         return max(int(self._share() * SHARE_OF_LIMIT), 1)
@@ -278,7 +289,7 @@
             return False
         if self._opening and self._limit_pause_s > FIRST_LIMIT_PAUSE_S:
             return False  # after a refusal, one attempt tells whether there is room again
-        return self.open + len(self._opening) < self._most()
+        return self.open + len(self._opening) - self._overdue() < self._most()
 
     def _start_opening(self) -> None:
         task = asyncio.create_task(self._open())
--- a/tests/gateway/test_member_pool.py
+++ b/tests/gateway/test_member_pool.py
@@ -152,6 +152,21 @@
         assert len(served) == 120
         assert first.member.peak_connections <= 16 - len(pools)
 
+    async def test_lost_answers_do_not_use_up_the_connections(self) -> None:
+        """Guards against work that is refused while links wait for answers that never come."""
+        member = await Member().started()
+        loop = asyncio.get_running_loop()
+        stuck = [
+            await member.pool.acquire(Rank.URGENT, caller="a", deadline=loop.time() + 1.0)
+            for _ in range(3)
+        ]
+        for link in stuck:
+            link.waiting_since = loop.time()
+        await asyncio.sleep(0.2)
+        served: list[Rank] = []
+        await member.work(Rank.URGENT, served, deadline_s=0.1)
+        assert served == [Rank.URGENT]
+
     async def test_instances_that_start_take_half_of_their_share(self) -> None:
         """Guards against the first to start that leaves nothing for the others."""
         member = Member()
