Let the timeout of a request to a peer cover its connection

A claim waited 1.0 s instead of 0.6 s for an instance behind a cut, because connecting to it had a timeout of its own; and an attempt to connect that began behind a cut sends its first packet again only after a second, so that a peer was back late. Requests now fail at their own timeout, and giving a peer up ends the attempt.

Both tests failed first.

--- a/src/wigeonpoint/connection/_peers.py
+++ b/src/wigeonpoint/connection/_peers.py
@@ -10,7 +10,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from wigeonpoint.channel import JsonChannel
-from wigeonpoint.errors import InvalidRequest, ResultCode
+from wigeonpoint.errors import InvalidRequest, NotRun, ResultCode
 
 CONNECT_TIMEOUT_S = 1.0
 PEER_KEY_HEADER = "X-Wigeonpoint-Peer-Key"
@@ -111,8 +111,17 @@
         if address == self._own_address:
             reply: ReplyT = await self._dispatcher.deliver(message)
             return reply
-        channel = await self._channel(address)
-        body = await channel.request(type(message).__name__, message, timeout=timeout)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        try:
+            async with asyncio.timeout_at(deadline):
+                channel = await self._channel(address)
+        except TimeoutError as error:
+            raise NotRun(
+                ResultCode.PEER_UNREACHABLE, f"no connection to {address} in time"
+            ) from error
+        remaining = max(deadline - loop.time(), 0.0)
+        body = await channel.request(type(message).__name__, message, timeout=remaining)
         decoded: ReplyT = self._adapter(reply_type).validate_python(body)
         return decoded
 
@@ -120,7 +129,12 @@
         """Closes the channel to an instance that is dead.
 
         A machine that fails sends nothing, so its requests would otherwise wait for their deadline.
+        An attempt to connect is given up too: behind a cut its first packet is lost, and is sent
+        again only after a second.
         """
+        opening = self._opening.pop(address, None)
+        if opening is not None:
+            opening.cancel()
         channel = self._channels.pop(address, None)
         if channel is not None:
             channel.close()
@@ -141,17 +155,26 @@
         if opening is None:
             opening = asyncio.create_task(self._open(address))
             self._opening[address] = opening
-        return await asyncio.shield(opening)
+        try:
+            return await asyncio.shield(opening)
+        except asyncio.CancelledError:
+            if not opening.cancelled():
+                raise
+            # Requests that wait for a channel that was given up fail; they are not cancelled.
+            raise NotRun(
+                ResultCode.PEER_UNREACHABLE, f"the attempt to connect to {address} was given up"
+            ) from None
 
     async def _open(self, address: str) -> JsonChannel:
         try:
             channel = await JsonChannel.open(
                 f"ws://{address}/peer", timeout=CONNECT_TIMEOUT_S, headers=self._headers
             )
-            self._channels[address] = channel
-            return channel
         finally:
-            self._opening.pop(address, None)
+            if self._opening.get(address) is asyncio.current_task():
+                del self._opening[address]
+        self._channels[address] = channel
+        return channel
 
     def _adapter(self, reply_type: type[Any]) -> TypeAdapter[Any]:
         adapter = self._adapters.get(reply_type)
--- /dev/null
+++ b/tests/test_peer_channels.py
@@ -0,0 +1,63 @@
+"""Channels to peers that cannot be reached."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+
+from wigeonpoint.connection import PeerChannels, PeerDispatcher
+from wigeonpoint.errors import NotRun, ResultCode
+from wigeonpoint.process.gateway.control._messages import FetchTable, TableCopy
+
+SHORT_S = 0.2
+# The connection attempt itself lasts a second.
+SLACK_S = 0.4
+
+
+@pytest.fixture
+async def silent_address() -> AsyncIterator[str]:
+    """Address of a peer that accepts connections and never answers, as behind a cut."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    yield f"127.0.0.1:{listener.getsockname()[1]}"
+    listener.close()
+
+
+@pytest.fixture
+async def channels() -> AsyncIterator[PeerChannels]:
+    """Channels of an instance."""
+    opened = PeerChannels("127.0.0.1:1", PeerDispatcher(), "")
+    yield opened
+    opened.close()
+
+
+class TestUnreachablePeer:
+    """A peer that does not answer the attempt to connect."""
+
+    async def test_timeout_of_a_request_covers_the_connection(
+        self, channels: PeerChannels, silent_address: str
+    ) -> None:
+        """Guards against a change of primary that waits for the connection to a lost instance."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        with pytest.raises(NotRun) as refusal:
+            await channels.request(silent_address, FetchTable("t"), TableCopy, timeout=SHORT_S)
+        assert refusal.value.code is ResultCode.PEER_UNREACHABLE
+        assert loop.time() - began < SHORT_S + SLACK_S
+
+    async def test_disconnecting_fails_requests_that_wait_for_the_connection(
+        self, channels: PeerChannels, silent_address: str
+    ) -> None:
+        """Guards against a task that is cancelled because its peer was given up elsewhere."""
+        request = asyncio.create_task(
+            channels.request(silent_address, FetchTable("t"), TableCopy, timeout=5.0)
+        )
+        await asyncio.sleep(0.05)
+        channels.disconnect(silent_address)
+        with pytest.raises(NotRun) as refusal:
+            await asyncio.wait_for(request, SLACK_S)
+        assert refusal.value.code is ResultCode.PEER_UNREACHABLE
