--- a/src/wigeonpoint/process/gateway/control/_policy.py
+++ b/src/wigeonpoint/process/gateway/control/_policy.py
@@ -24,7 +24,6 @@
     LEAVING = auto()
     GONE = auto()
     UNREACHABLE = auto()
-    PLACEMENT = auto()  # too many primaries in one data centre, before any caller needs them
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,27 +88,24 @@
 
 
 def choose_candidate(
-    reports: Mapping[str, MemberReport | None],
-    *,
-    leaving: Collection[str],
-    preferred: Collection[str] = (),
+    reports: Mapping[str, MemberReport | None], *, leaving: Collection[str]
 ) -> str | None:
-    """Chooses the member to promote: the longest log, then a preferred one, then the shortest lag.
+    """Chooses the member to promote: the longest log, then the shortest lag.
 
     Args:
         reports: What each replica that answered says of itself; None from one too busy to say.
         leaving: Replicas that have announced their end; they are chosen only when no other answers.
-        preferred: Replicas to prefer among those with equal logs.
     """
     known = {member: report for member, report in reports.items() if report is not None}
     staying = {member: report for member, report in known.items() if member not in leaving}
     pool = staying or known
     if not pool:
         return min(reports.keys() - set(leaving), default=min(reports, default=None))
-    return max(pool, key=lambda member: _merit(pool[member], member, member in preferred))
+    return max(pool, key=lambda member: (*_progress(pool[member]), member))
 
 
-def _merit(report: MemberReport, member: str, preferred: bool) -> tuple[int, int, bool, float, str]:
+def _progress(report: MemberReport) -> tuple[int, int, float]:
     received = report.received
-    term, position = (received.term, received.position) if received is not None else (0, 0)
-    return term, position, preferred, -report.lag_s, member
+    if received is None:
+        return 0, 0, -report.lag_s
+    return received.term, received.position, -report.lag_s
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -58,7 +58,6 @@
         name: Name of the group.
         group: The group.
         reason: Why the primary is replaced, None when the claim of another instance is taken over.
-        preferred: Members to prefer among those with equal logs.
     """
 
     def __init__(
@@ -67,8 +66,6 @@
         name: str,
         group: Group,
         reason: ReplacementReason | None,
-        *,
-        preferred: frozenset[str] = frozenset(),
     ) -> None:
         self._control = services.control
         self._peers = services.peers
@@ -79,12 +76,11 @@
         self._name = name
         self._group = group
         self._reason = reason
-        self._preferred = preferred
 
     @property
     def _planned(self) -> bool:
         """Whether the replaced primary goes on running meanwhile."""
-        return self._reason in (ReplacementReason.LEAVING, ReplacementReason.PLACEMENT)
+        return self._reason is ReplacementReason.LEAVING
 
     async def run(self) -> None:
         """Makes the change, or logs why it could not be made."""
@@ -127,7 +123,7 @@
             chosen = claimed.candidate
         else:
             leaving = [record.id for record in records if record.leaving]
-            chosen = choose_candidate(reports, leaving=leaving, preferred=self._preferred)
+            chosen = choose_candidate(reports, leaving=leaving)
         return next((record for record in records if record.id == chosen), None)
 
     async def _confirm(self, claim: Claim) -> None:
