Refuse no database before the routes are known, and tell callers of rollbacks

It now waits for the routes, and says when to come back if they do not come within a second. A statement that follows a rollback for an idle transaction or a shutdown was called malformed; it is now told of the rollback.

--- a/src/wigeonpoint/connection/session/_session.py
+++ b/src/wigeonpoint/connection/session/_session.py
@@ -46,6 +46,7 @@
         transaction: The open transaction, or None.
         committed: Position of the session's last commit by database group.
         active_at: Event-loop time, in seconds, of the last answer.
+        abort_untold: Whether its transaction was rolled back without the caller knowing yet.
     """
 
     database: str
@@ -56,6 +57,7 @@
     transaction: SessionTransaction | None = None
     committed: dict[str, LogPosition] = field(default_factory=dict)
     active_at: float = 0.0
+    abort_untold: bool = False
 
     @property
     def idle(self) -> bool:
@@ -67,6 +69,11 @@
         self.transaction = SessionTransaction(route, read_only)
         self.state = TransactionState.OPEN
 
+    def note_abort(self) -> None:
+        """Records that the transaction was rolled back between two statements."""
+        self.state = TransactionState.FAILED
+        self.abort_untold = True
+
     def end(self) -> MemberLink | None:
         """Ends the transaction.
 
@@ -76,4 +83,5 @@
         link = self.transaction.link if self.transaction else None
         self.transaction = None
         self.state = TransactionState.IDLE
+        self.abort_untold = False
         return link
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -71,7 +71,11 @@
         self.executor = StatementExecutor(self.control)
         self.transactions = TransactionRunner(self.executor)
         self.sessions = SessionService(
-            self.view.catalogue, self.view.group, self.executor, self.transactions
+            self.view.wait_until_known,
+            self.view.catalogue,
+            self.view.group,
+            self.executor,
+            self.transactions,
         )
         self.peers = self._make_peers()
         announcements = Announcements(self.control, self.view.group)
--- a/src/wigeonpoint/process/gateway/_session_service.py
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -6,6 +6,7 @@
 import traceback
 from collections.abc import Callable
 from contextlib import suppress
+from typing import Protocol
 
 from wigeonpoint.connection.session import (
     CallerConnection,
@@ -31,13 +32,24 @@
 )
 from wigeonpoint.version.catalogue import Catalogue, DatabaseRoute
 
+STARTING_PATIENCE_S = 1.0  # callers wait for two seconds for their session to open
+
 _DONE = Reply()
 
 
+class WaitUntilKnown(Protocol):
+    """Waits until routes and members are known."""
+
+    async def __call__(self, *, timeout: float) -> bool:
+        """Waits for at most `timeout` seconds; whether they are known."""
+        ...
+
+
 class SessionService:
     """Serves sessions.
 
     Args:
+        wait_until_known: Waits until routes and members are known, at most for some seconds.
         catalogue: Gives the catalogue in force.
         group: Gives the group of a service.
         executor: Runs single statements.
@@ -46,11 +58,13 @@
 
     def __init__(
         self,
+        wait_until_known: WaitUntilKnown,
         catalogue: Callable[[], Catalogue],
         group: Callable[[str], Group],
         executor: StatementExecutor,
         transactions: TransactionRunner,
     ) -> None:
+        self._wait_until_known = wait_until_known
         self._catalogue = catalogue
         self._group = group
         self._executor = executor
@@ -83,7 +97,7 @@
         for session in self._sessions:
             if session.transaction is not None and session not in self._running:
                 self._transactions.roll_back(session)
-                session.state = TransactionState.FAILED
+                session.note_abort()
 
     async def serve(self, connection: CallerConnection) -> None:
         """Serves a connection until it ends."""
@@ -112,6 +126,15 @@
             problem = message.problem if isinstance(message, WrongMessage) else "not connected"
             await connection.reject(refuse_statement(Refusal.MALFORMED, problem))
             return None
+        # Before that, this instance cannot tell whether the database exists.
+        if not await self._wait_until_known(timeout=STARTING_PATIENCE_S):
+            reply = refuse_statement(
+                Refusal.UNAVAILABLE,
+                "the routes are not known here yet",
+                retry_after_ms=int(STARTING_PATIENCE_S * 1000),
+            )
+            await connection.reject(reply)
+            return None
         if message.database not in self._catalogue().routes:
             reply = refuse_statement(Refusal.UNKNOWN_DATABASE, f"no route {message.database}")
             await connection.reject(reply)
@@ -155,7 +178,7 @@
         if session.transaction is not None:
             log_event(Event.TRANSACTION_ABORTED, reason="idle", session=session.number)
             self._transactions.roll_back(session)
-            session.state = TransactionState.FAILED
+            session.note_abort()
 
     async def _answer(
         self,
@@ -214,6 +237,9 @@
         if statement.verb is Verb.COMMIT:
             self._transactions.roll_back(session)
             return refuse_statement(Refusal.ABORTED, "the transaction had failed")
+        if session.abort_untold:
+            session.abort_untold = False
+            return refuse_statement(Refusal.ABORTED, "the transaction was rolled back")
         return refuse_statement(Refusal.MALFORMED, "the transaction has failed; end it")
 
     def _run_locally(self, session: CallerSession, statement: SessionStatement) -> Reply | None:
--- a/src/wigeonpoint/process/gateway/_view.py
+++ b/src/wigeonpoint/process/gateway/_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._group import Group
@@ -34,6 +35,7 @@
         self._groups: dict[str, Group] = {}
         self._decoded: dict[str, tuple[VersionedRow, MemberRecord | None]] = {}
         self._expiry: asyncio.TimerHandle | None = None
+        self._known = asyncio.Event()
         self.instances = 1
         self.operators = TableFeed(platform.store, platform.tables.operators, self._apply_operators)
         self.members = TableFeed(platform.store, platform.tables.members, self._apply_members)
@@ -65,6 +67,19 @@
             )
         return group
 
+    async def wait_until_known(self, *, timeout: float) -> bool:
+        """Waits until routes and members are known.
+
+        Args:
+            timeout: Seconds to wait.
+
+        Returns:
+            Whether they are.
+        """
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self._known.wait(), timeout)
+        return self.known
+
     def probe_data_centre(self, data_centre: str) -> None:
         """Tries to connect to the members of a data centre that has perhaps been cut off."""
         for group in self._groups.values():
@@ -117,6 +132,7 @@
                 routes=len(catalogue.routes),
                 store_version=self.operators.version,
             )
+        self._note_known()
 
     def _apply_members(self) -> None:
         now = asyncio.get_running_loop().time()
@@ -126,6 +142,11 @@
         self._directory.replace(records, now=now, store_stable=self.members.stable)
         self._set_groups()
         self._schedule_expiry(now)
+        self._note_known()
+
+    def _note_known(self) -> None:
+        if self.known:
+            self._known.set()
 
     def _decode(self, row: VersionedRow) -> tuple[VersionedRow, MemberRecord | None]:
         known = self._decoded.get(row.key)
--- a/tests/gateway/_world.py
+++ b/tests/gateway/_world.py
@@ -206,12 +206,18 @@
 
     async def caller(self, name: str, database: str) -> Caller:
         """Opens a session at a gateway."""
+        caller = await self.connect(name, database)
+        assert caller.rejected is None
+        return caller
+
+    async def connect(self, name: str, database: str) -> Caller:
+        """Asks a gateway for a session, which it may reject."""
         caller = Caller()
         node = self.nodes[name]
         assert node.platform.serve is not None
         task = asyncio.ensure_future(node.platform.serve(caller))
         node.tasks.add(task)
-        assert await caller.open(database)
+        await caller.open(database)
         return caller
 
     def member(self, data_centre: str) -> ModelMember:
--- a/tests/gateway/test_sessions.py
+++ b/tests/gateway/test_sessions.py
@@ -66,6 +66,27 @@
             with pytest.raises(AssertionError):
                 await world.caller("g-chur", "nowhere")
 
+    async def test_instance_that_starts_refuses_no_database_that_it_does_not_know_yet(self) -> None:
+        """Guards against callers that are told of a missing database by a restarted instance."""
+        async with World() as world:
+            world.kill("g-chur")
+            world.start("g-chur", "chur")
+            caller = await world.caller("g-chur", "current")
+            assert caller.rejected is None
+            assert (await caller.query("WRITE a 1")).served
+
+    async def test_instance_that_stays_without_routes_says_when_to_return(self) -> None:
+        """Guards against callers that wait for an instance that cannot learn its routes."""
+        async with World() as world:
+            for name in list(world.nodes):
+                world.kill(name)
+            world.store.down = True
+            world.start("g-chur", "chur")
+            rejected = (await world.connect("g-chur", "current")).rejected
+            assert rejected is not None
+            assert rejected.refusal is Refusal.UNAVAILABLE
+            assert rejected.retry_after_ms
+
     async def test_dropped_route_is_refused_from_the_next_transaction_on(self) -> None:
         """Guards against a route that stays in force after it was dropped."""
         async with World() as world:
@@ -124,6 +145,19 @@
             assert result.reply.refusal is Refusal.ABORTED
             assert result.state is TransactionState.IDLE
 
+    async def test_caller_learns_of_a_rollback_with_its_next_statement(self) -> None:
+        """Guards against a statement called malformed although its transaction was ended."""
+        async with World() as world:
+            caller = await world.caller("g-chur", "current")
+            await caller.query("BEGIN")
+            await caller.query("WRITE a 1")
+            await asyncio.sleep(4.0)
+            result = await caller.query("WRITE a 2")
+            assert result.reply.refusal is Refusal.ABORTED
+            assert result.state is TransactionState.FAILED
+            assert (await caller.query("WRITE a 3")).reply.refusal is Refusal.MALFORMED
+            assert (await caller.query("ROLLBACK")).state is TransactionState.IDLE
+
     async def test_caller_that_leaves_rolls_back(self) -> None:
         """Guards against a transaction that outlives its caller."""
         async with World() as world:
