Let statements go on at a leaving primary while its successor is promoted

A planned change of primary refused every write and current read of its group for the time that the platform takes for the promotion, 0.3 to 1 s, and a little more. The leaving primary goes on being used now: an answer of it is passed on once the successor has said, after the answer had come, that it still follows, and for a commit that it has received it. What is at the leaving primary in the very moment of the promotion is in doubt. The wait for statements in progress is gone.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -65,6 +65,7 @@
     PRIMARY_PROMOTED = (416, logging.INFO, "the new primary leads")
     PRIMARY_DEMOTED = (417, logging.INFO, "the replaced primary was told to follow")
     MEMBERS_SUSPENDED = (418, logging.INFO, "members obey the new term only")
+    HANDOVER_ENDED = (419, logging.INFO, "statements at the leaving primary have ended")
     RETRY_BUDGET_EMPTY = (600, logging.WARNING, "retry budget of the route is used up")
     POSITION_LOST = (601, logging.ERROR, "a session requires a position that no log contains")
     COMMIT_UNRESOLVED = (602, logging.WARNING, "the outcome of a commit could not be resolved")
--- a/src/wigeonpoint/process/gateway/_exchange.py
+++ b/src/wigeonpoint/process/gateway/_exchange.py
@@ -130,7 +130,7 @@
             return
         member_id = self._pool.record.id
         # Without evidence of its lead, a primary's position says nothing about other commits.
-        if member_id == self._group.primary_id and not self._guard.may_answer(
+        if member_id == self._group.primary_id and not self._guard.leads(
             self._group.name, member_id
         ):
             return
--- a/src/wigeonpoint/process/gateway/_executor.py
+++ b/src/wigeonpoint/process/gateway/_executor.py
@@ -151,11 +151,7 @@
         while True:
             pool = work.group.primary
             usable = pool is not None and (pool.health.available or pool.health.may_try)
-            if (
-                pool is not None
-                and usable
-                and self._guard.may_send(work.group.name, pool.record.id)
-            ):
+            if pool is not None and usable and self.may_send(work, pool):
                 return pool
             if pool is not None and not pool.health.available:
                 pool.probe()
@@ -168,9 +164,23 @@
                 )
             await work.group.wait_for_change(min(remaining, PRIMARY_CHECK_S))
 
-    def may_answer(self, work: Work, pool: MemberPool) -> bool:
-        """Whether an answer of the primary may be given to the caller."""
-        return self._guard.may_answer(work.group.name, pool.record.id)
+    def may_send(self, work: Work, pool: MemberPool) -> bool:
+        """Whether a statement may be sent to a member as the primary."""
+        return self._guard.may_send(work.group.name, pool.record.id)
+
+    async def confirm(
+        self, work: Work, pool: MemberPool, *, commit: LogPosition | None = None
+    ) -> bool:
+        """Whether an answer of the primary may be given to the caller.
+
+        Args:
+            work: The statement.
+            pool: Pool of the member that answered.
+            commit: Position of the commit that was answered, None if it was no commit.
+        """
+        return await self._guard.confirm(
+            work.group.name, pool.record.id, commit, deadline=work.deadline
+        )
 
     def note_fault(
         self, work: Work, pool: MemberPool, answer: MemberAnswer, after: LogPosition | None
@@ -207,7 +217,7 @@
             return self._write_lost(work, exchange, error)
         exchange.pool.release(exchange.link)
         if answer.fault is None:
-            if not self.may_answer(work, exchange.pool):
+            if not await self.confirm(work, exchange.pool, commit=answer.position):
                 return self.in_doubt(work, "the primary may have been replaced")
             work.note_commit(answer.position)
         elif answer.fault.not_run:
@@ -311,7 +321,7 @@
             pool.release(exchange.link)
         if answer.fault is not None:
             self._executor.note_fault(work, pool, answer, after)
-        elif primary and not self._executor.may_answer(work, pool):
+        elif primary and not await self._executor.confirm(work, pool):
             return NotRun(ResultCode.NO_PRIMARY, "the primary may have been replaced")
         return answer
 
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -64,6 +64,7 @@
             RegisteredInstance(settings.peer_address, settings.data_centre),
             store=platform.store,
             group=self.view.group,
+            members=self._member_control,
             member_evidence=member_evidence,
             clock=clock,
             on_current=self.view.retry_suspects,
@@ -78,7 +79,7 @@
             self.transactions,
         )
         self.peers = self._make_peers()
-        announcements = Announcements(self.control, self.view.group)
+        announcements = Announcements(self.control)
         announcements.register(self._dispatcher)
         self.failover = self._make_failover(announcements)
 
--- a/src/wigeonpoint/process/gateway/_transactions.py
+++ b/src/wigeonpoint/process/gateway/_transactions.py
@@ -73,7 +73,7 @@
             return self._fail(work, answer)
         if answer.fault is not None:
             return self._fail(work, reply_for_answer(answer))
-        if not self._may_answer(work, exchange.link):
+        if not await self._confirm(work, exchange.link):
             return self._fail(work, _aborted("the primary may have been replaced"))
         if work.statement.verb is Verb.WRITE or _executes_write(work):
             transaction.wrote = True
@@ -85,7 +85,7 @@
         if isinstance(exchange, Reply):
             self.roll_back(work.session)
             return exchange
-        if not self._may_answer(work, exchange.link):
+        if not self._may_send(work, exchange.link):
             self.roll_back(work.session)
             return _aborted("the primary may have been replaced")
         reply = await self._commit(work, exchange, transaction)
@@ -206,7 +206,8 @@
             if not exchange.sent or not transaction.wrote:
                 return _aborted("the connection was lost and nothing had been written")
             return self._executor.in_doubt(work, str(error) or "no answer in time")
-        if answer.fault is None and not self._may_answer(work, exchange.link):
+        commit = answer.position if transaction.wrote else None
+        if answer.fault is None and not await self._confirm(work, exchange.link, commit=commit):
             if not transaction.wrote:
                 return _aborted("the primary may have been replaced")
             return self._executor.in_doubt(work, "the primary may have been replaced")
@@ -217,11 +218,17 @@
             return _aborted(f"not committed: {answer.fault.name.lower()}")
         return reply_for_answer(answer)
 
-    def _may_answer(self, work: Work, link: MemberLink) -> bool:
+    def _may_send(self, work: Work, link: MemberLink) -> bool:
+        binding = self._bindings[link]
+        return not binding.at_primary or self._executor.may_send(work, binding.pool)
+
+    async def _confirm(
+        self, work: Work, link: MemberLink, *, commit: LogPosition | None = None
+    ) -> bool:
         binding = self._bindings[link]
         if not binding.at_primary:
             return True
-        return self._executor.may_answer(work, binding.pool)
+        return await self._executor.confirm(work, binding.pool, commit=commit)
 
     def _fail(self, work: Work, reply: Reply) -> Reply:
         """Marks the transaction as failed and gives its link back."""
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -4,14 +4,16 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from wigeonpoint.backend import LogPosition
 from wigeonpoint.errors import ConditionFailed, StoreUnavailable
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S, Clock, Evidence
+from wigeonpoint.process.gateway.control._handover import Handover
+from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._member_evidence import MemberEvidence
 from wigeonpoint.process.gateway.control._records import (
     CONTROL_TABLE,
@@ -31,24 +33,10 @@
 STEP_S = 0.08
 LOADING_STEP_S = 0.01
 WATCH_STEP_S = 0.05
-PLANNED_DRAIN_S = 0.15  # for statements in progress at a primary that is leaving
 REGISTER_PAUSE_S = 0.3
 RENEWAL_PAUSE_S = 1.0  # nothing waits for a renewal, and each call is priced
 
 
-@dataclass(frozen=True, slots=True)
-class _Drain:
-    """A replaced primary whose answers may still be passed on.
-
-    Attributes:
-        member_id: The member.
-        until: Time, in seconds of the evidence's clock, at which that ends.
-    """
-
-    member_id: str
-    until: float
-
-
 class ControlState:
     """Control rows, the leaders that they name, and the use of primaries.
 
@@ -57,6 +45,7 @@
         registration: What it registers.
         store: The store.
         group: Gives a group by name.
+        members: Control calls to members.
         member_evidence: Evidence from the members themselves.
         clock: Seconds, counted also while the machine is suspended.
         on_current: Called when primaries may be used again.
@@ -69,6 +58,7 @@
         *,
         store: RowStore,
         group: Callable[[str], Group],
+        members: MemberControl,
         member_evidence: MemberEvidence,
         clock: Clock,
         on_current: Callable[[], None] = lambda: None,
@@ -77,6 +67,7 @@
         self._registration = registration
         self._store = store
         self._group = group
+        self._members = members
         self._member_evidence = member_evidence
         self._on_current = on_current
         self._current_since: float | None = None
@@ -85,7 +76,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._leaving = False
         self._renewed = False
-        self._drains: dict[str, _Drain] = {}
+        self._handovers: dict[str, Handover] = {}
         self.evidence = Evidence(clock)
         self.feed = TableFeed(store, CONTROL_TABLE, self._apply_rows)
 
@@ -152,15 +143,23 @@
         """Whether a statement may be sent to a member as the primary of a group."""
         if not self.registered or self._group(group).primary_id != member_id:
             return False
+        handover = self._handovers.get(group)
+        if handover is not None:
+            return self.current and handover.usable
         return self.current or self._member_evidence.holds(group, member_id)
 
-    def may_answer(self, group: str, member_id: str) -> bool:
-        """Whether an answer that a member gave as the primary may be passed on now."""
-        return self.may_send(group, member_id) or self._draining(group, member_id)
+    def leads(self, group: str, member_id: str) -> bool:
+        """Whether a member leads a group now and is not being replaced."""
+        return group not in self._handovers and self.may_send(group, member_id)
 
-    def end_drain(self, group: str) -> None:
-        """Passes on no further answers of a replaced primary."""
-        self._drains.pop(group, None)
+    async def confirm(
+        self, group: str, member_id: str, position: LogPosition | None, *, deadline: float
+    ) -> bool:
+        """Whether an answer that a member gave as the primary may be passed on."""
+        handover = self._handovers.get(group)
+        if handover is None or handover.primary_id != member_id:
+            return self.may_send(group, member_id)
+        return await handover.confirm(position, deadline=deadline) and self.current
 
     def leadership(self, group: str) -> Leadership | None:
         """The newest record of a group that is known."""
@@ -172,7 +171,6 @@
         if known is not None and _order(leadership) <= _order(known):
             return
         self._leaderships[group] = leadership
-        self._note_drain(group, leadership)
         log_event(
             Event.LEADERSHIP_NOTED,
             group=group,
@@ -182,8 +180,17 @@
             candidate=leadership.candidate,
             claimant=leadership.claimant,
         )
-        stable = leadership.phase is LeadershipPhase.STABLE
-        self._group(group).set_leader(leadership.primary if stable else None, known=True)
+        self._follow(self._group(group), leadership)
+
+    def _follow(self, group: Group, leadership: Leadership) -> None:
+        former = self._handovers.pop(group.name, None)
+        if former is not None:
+            former.close()
+        handover = self._start_handover(group, leadership)
+        if handover is not None:
+            self._handovers[group.name] = handover
+        usable = handover is not None or leadership.phase is LeadershipPhase.STABLE
+        group.set_leader(leadership.primary if usable else None, known=True)
 
     def start(self) -> None:
         """Follows the control table, registers this instance and keeps the evidence young."""
@@ -199,6 +206,8 @@
         """Stops all tasks."""
         self.feed.close()
         self._member_evidence.close()
+        for handover in self._handovers.values():
+            handover.close()
         for task in self._tasks:
             task.cancel()
 
@@ -234,18 +243,19 @@
         except (StoreUnavailable, ConditionFailed, TimeoutError) as error:
             log_event(Event.REGISTRATION_FAILED, reason=str(error) or "the store is too slow")
 
-    def _note_drain(self, group: str, leadership: Leadership) -> None:
-        self._drains.pop(group, None)
+    def _start_handover(self, group: Group, leadership: Leadership) -> Handover | None:
+        """Lets statements go on at a primary that is leaving, None where that is not possible."""
+        candidate = group.pool(leadership.candidate or "")
         claimed = leadership.phase is LeadershipPhase.CLAIMED
-        if claimed and leadership.planned and leadership.primary and self.current:
-            until = self.evidence.now + PLANNED_DRAIN_S
-            self._drains[group] = _Drain(leadership.primary, until)
-
-    def _draining(self, group: str, member_id: str) -> bool:
-        drain = self._drains.get(group)
-        if drain is None or drain.member_id != member_id:
-            return False
-        return self.current and self.evidence.now < drain.until
+        if not (claimed and leadership.planned and leadership.primary and candidate):
+            return None
+        return Handover(
+            group.name,
+            leadership.primary,
+            candidate.record,
+            self._members,
+            on_change=group.notify,
+        )
 
     def _apply_rows(self) -> None:
         records = self.records
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -11,7 +11,7 @@
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway.control._announcements import Announcements
 from wigeonpoint.process.gateway.control._claims import Claim, Claims, Superseded
-from wigeonpoint.process.gateway.control._control_state import PLANNED_DRAIN_S, ControlState
+from wigeonpoint.process.gateway.control._control_state import ControlState
 from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S
 from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._member_evidence import majority
@@ -163,9 +163,9 @@
             claim.leadership,
             version=self._control.records.version(group_row(self._name).key),
         )
-        timeout = EVIDENCE_LIFE_S + (PLANNED_DRAIN_S if self._planned else 0.0)
         confirmed, _ = await asyncio.gather(
-            self._peers.announce(message, timeout=timeout), self._announcements.note(message)
+            self._peers.announce(message, timeout=EVIDENCE_LIFE_S),
+            self._announcements.note(message),
         )
         return confirmed
 
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -13,6 +13,7 @@
 from wigeonpoint.connection.session import CallerGone, MemberReport
 from wigeonpoint.errors import ConditionFailed
 from wigeonpoint.process.gateway.control import CONTROL_TABLE, EVIDENCE_LIFE_S, vouched
+from wigeonpoint.request.session import Refusal
 from wigeonpoint.services import RowKey, RowTransaction
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -146,6 +147,51 @@
             assert set(served) <= set(log)
             assert not set(world.group.commits_after_replacement) & set(served)
 
+    async def test_writes_and_reads_go_on_while_the_successor_is_promoted(self) -> None:
+        """Guards against a group that refuses everything while the platform promotes a member."""
+        async with World() as world:
+            world.group.promote_s = 1.0
+            callers = [await world.caller(f"g-{dc}", "current") for dc in ("chur", "sargans")]
+            outcomes: list[Refusal | None] = []
+
+            async def use(caller: Caller, name: str) -> None:
+                for number in range(80):
+                    text = "READ a" if number % 2 else f"WRITE a {name}{number}"
+                    outcomes.append((await caller.query(text)).reply.refusal)
+                    await asyncio.sleep(0.02)
+
+            users = [
+                asyncio.create_task(use(caller, name))
+                for caller, name in zip(callers, "xy", strict=True)
+            ]
+            await asyncio.sleep(0.2)
+            world.leave(world.member("chur"))
+            await asyncio.gather(*users)
+            assert world.group.leader().record.id != "m-chur"
+            assert outcomes.count(None) >= len(outcomes) - len(callers)
+            # What is at the leaving primary in the very moment of the promotion is not known.
+            assert set(outcomes) <= {None, Refusal.IN_DOUBT}
+
+    async def test_successor_that_receives_nothing_confirms_no_commit(self) -> None:
+        """Guards against acknowledged writes that a promotion cuts back."""
+        async with World() as world:
+            world.group.promote_s = 1.0
+            caller = await world.caller("g-sargans", "current")
+            values = await write_values(caller, 3)
+            world.leave(world.member("chur"))
+            while not world.calls:
+                await asyncio.sleep(0.01)
+            for other in ("stgallen", "sargans"):
+                world.network.cut("chur", other)  # the primary's log goes nowhere any more
+            inside = await world.caller("g-chur", "current")
+            served = []
+            for number in range(20):
+                if (await inside.query(f"WRITE a late{number}")).served:
+                    served.append(f"late{number}")
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(1.0)
+            acknowledged(world, values + served)
+
     async def test_leaving_replica_changes_nothing(self) -> None:
         """Guards against a promotion that nobody needs."""
         async with World() as world:
