Keep a leaving primary in place while an instance is missing

The change now waits until the instance is back, for at most 0.4 of the time for which a leaving member goes on serving.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -29,6 +29,9 @@
 from wigeonpoint.version.catalogue import RegisteredInstance
 
 UPKEEP_S = 0.25
+# Of the time for which a leaving member goes on serving; the rest is for a change of primary in
+# which an instance does not take part.
+LEAVING_PATIENCE_SHARE = 0.4
 
 
 def elapsed_s() -> float:
@@ -163,6 +166,7 @@
             store=self._platform.store,
             promoter=promoter,
             members=self._member_control,
+            patience_s=self._settings.leaving_s * LEAVING_PATIENCE_SHARE,
         )
 
     def _state(self) -> GatewayState:
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -7,6 +7,7 @@
 
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway.control._announcements import Announcements
 from wigeonpoint.process.gateway.control._claims import Claims
 from wigeonpoint.process.gateway.control._control_state import ControlState
@@ -41,6 +42,7 @@
         store: The store.
         promoter: The promotion call.
         members: Control calls to members.
+        patience_s: Seconds for which a leaving primary stays in place while an instance is missing.
     """
 
     def __init__(
@@ -53,12 +55,15 @@
         store: RowStore,
         promoter: Promoter,
         members: MemberControl,
+        patience_s: float,
     ) -> None:
         self._control = control
         self._peers = peers
         self._groups = groups
         claims = Claims(control, groups, store)
         self._services = ChangeServices(control, peers, announcements, claims, promoter, members)
+        self._patience_s = patience_s
+        self._leaving_since: dict[str, float] = {}
         self._running: dict[str, asyncio.Task[None]] = {}
         self._not_before: dict[str, float] = {}
         self._claimed_since: dict[str, tuple[int, float]] = {}
@@ -140,6 +145,7 @@
             self._view(group),
             self._peers.unreachable_s(name),
             registered=len(self._control.instances),
+            patience_s=self._patience_s,
         )
         if reason is not None:
             self._start(name, group, reason)
@@ -155,11 +161,18 @@
         return PrimaryView(
             # Without any word of a primary the members have only just started.
             listed=pool is not None or primary_id is None,
-            leaving=pool is not None and pool.record.leaving,
+            leaving_s=self._leaving_s(pool),
             unreachable_s=self._control.unreachable_s(pool),
             replicas=len(replicas),
         )
 
+    def _leaving_s(self, pool: MemberPool | None) -> float | None:
+        """Seconds since a member was first seen to be leaving, None if it is not."""
+        if pool is None or not pool.record.leaving:
+            return None
+        now = asyncio.get_running_loop().time()
+        return now - self._leaving_since.setdefault(pool.record.id, now)
+
     def _stuck(self, name: str, leadership: Leadership, contact: list[str]) -> bool:
         """Whether nobody works on a claim any more."""
         now = asyncio.get_running_loop().time()
--- a/src/wigeonpoint/process/gateway/control/_policy.py
+++ b/src/wigeonpoint/process/gateway/control/_policy.py
@@ -32,13 +32,13 @@
 
     Attributes:
         listed: Whether its entry is in use.
-        leaving: Whether it has announced its end.
+        leaving_s: Seconds since it announced its end, None if it has not.
         unreachable_s: Seconds for which it has not been reached, 0 while it is.
         replicas: Members that could take over.
     """
 
     listed: bool
-    leaving: bool
+    leaving_s: float | None
     unreachable_s: float
     replicas: int
 
@@ -61,7 +61,7 @@
 
 
 def replacement_reason(
-    view: PrimaryView, peers: Mapping[str, float], *, registered: int
+    view: PrimaryView, peers: Mapping[str, float], *, registered: int, patience_s: float
 ) -> ReplacementReason | None:
     """Why the primary should be replaced, or None.
 
@@ -69,6 +69,9 @@
         view: What this instance knows of the primary.
         peers: For each peer that answers, the seconds for which it has not reached the primary.
         registered: Registered instances, this one included.
+        patience_s: Seconds for which a leaving primary stays in place while an instance is missing.
+            Without its consent the primary would have to be cut off from its replicas before its
+            successor leads, and most missing instances are back within seconds.
     """
     if view.replicas == 0:
         return None
@@ -77,7 +80,7 @@
         return None  # too few instances are in contact; the others may well reach the primary
     if not view.listed:
         return ReplacementReason.GONE
-    if view.leaving:
+    if view.leaving_s is not None and (voters == registered or view.leaving_s >= patience_s):
         return ReplacementReason.LEAVING
     missing = sum(1 for seconds in [view.unreachable_s, *peers.values()] if seconds > 0)
     agreed = missing == voters and voters > 1
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -192,6 +192,23 @@
             await asyncio.sleep(1.0)
             acknowledged(world, values + served)
 
+    async def test_writes_go_on_while_an_instance_restarts(self) -> None:
+        """Guards against a planned change that stops its group because an instance is away."""
+        async with World() as world:
+            caller = await world.caller("g-sargans", "current")
+            world.kill("g-stgallen")
+            await asyncio.sleep(0.5)
+            world.leave(world.member("chur"))
+            refused = 0
+            for number in range(60):
+                if number == 40:
+                    world.start("g-stgallen", "stgallen")
+                refused += not (await caller.query(f"WRITE a {number}")).served
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(1.0)
+            assert world.group.leader().record.id != "m-chur"
+            assert refused <= 1
+
     async def test_leaving_replica_changes_nothing(self) -> None:
         """Guards against a promotion that nobody needs."""
         async with World() as world:
