Count members that obey a new term against those that could vouch, in every view of a replacement

It is enough that those that do not obey make no majority, whether an instance knows the old member, the new one, or both.

--- a/src/wigeonpoint/process/gateway/control/__init__.py
+++ b/src/wigeonpoint/process/gateway/control/__init__.py
@@ -7,7 +7,11 @@
 from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S, Clock, Evidence
 from wigeonpoint.process.gateway.control._failover import Failover
 from wigeonpoint.process.gateway.control._member_control import MemberControl
-from wigeonpoint.process.gateway.control._member_evidence import MemberEvidence, vouched
+from wigeonpoint.process.gateway.control._member_evidence import (
+    MemberEvidence,
+    blocks_evidence,
+    vouched,
+)
 from wigeonpoint.process.gateway.control._messages import GatewayState
 from wigeonpoint.process.gateway.control._peers import GatewayPeers, evidence_age_s
 from wigeonpoint.process.gateway.control._policy import (
@@ -33,6 +37,7 @@
     "MemberEvidence",
     "PrimaryView",
     "ReplacementReason",
+    "blocks_evidence",
     "choose_candidate",
     "choose_coordinator",
     "evidence_age_s",
--- a/src/wigeonpoint/process/gateway/control/_member_evidence.py
+++ b/src/wigeonpoint/process/gateway/control/_member_evidence.py
@@ -16,6 +16,7 @@
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S, Clock
 from wigeonpoint.process.gateway.control._member_control import MemberControl
+from wigeonpoint.version.catalogue import MemberRecord
 
 ASK_S = 0.4 * EVIDENCE_LIFE_S
 STEP_S = 0.08
@@ -27,6 +28,32 @@
     return members // 2 + 1
 
 
+def blocks_evidence(obeying: Collection[str], members: Collection[MemberRecord]) -> bool:
+    """Whether members that obey a new term leave no majority to vouch for the old primary.
+
+    While a member is being replaced, instances may know one of the two, the other, or both, and
+    each counts the majority of those that it knows.
+
+    Args:
+        obeying: Ids of the members that obey the new term.
+        members: All members that are listed.
+    """
+    leaving = [member.id for member in members if member.leaving]
+    by_age = sorted(members, key=lambda member: member.born_ms)
+    known = [member.id for member in by_age]
+    views = [
+        known,
+        [member for member in known if member not in leaving],
+        known[: len(known) - len(leaving)],
+    ]
+    return all(_outnumbered(obeying, view) for view in views if view)
+
+
+def _outnumbered(obeying: Collection[str], view: Collection[str]) -> bool:
+    others = [member for member in view if member not in obeying]
+    return len(others) < majority(len(view))
+
+
 def vouched(
     primary: str, reports: Mapping[str, MemberReport | None], members: Collection[str]
 ) -> bool:
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -14,7 +14,7 @@
 from wigeonpoint.process.gateway.control._control_state import ControlState
 from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S
 from wigeonpoint.process.gateway.control._member_control import MemberControl
-from wigeonpoint.process.gateway.control._member_evidence import majority
+from wigeonpoint.process.gateway.control._member_evidence import blocks_evidence
 from wigeonpoint.process.gateway.control._messages import AnnounceLeadership
 from wigeonpoint.process.gateway.control._peers import GatewayPeers
 from wigeonpoint.process.gateway.control._policy import ReplacementReason, choose_candidate
@@ -131,7 +131,7 @@
 
         An instance that does not confirm may hold evidence from before the claim, or from members
         that did not obey the new term yet. Both have lapsed once the life of evidence has passed
-        since the claim, and since a majority of the members has obeyed. With an instance missing
+        since the claim, and since enough members have obeyed. With an instance missing
         from the start, both spans run side by side. A primary that goes on running is not cut off
         from its replicas before the instances had their time to finish statements there.
 
@@ -170,13 +170,13 @@
         return confirmed
 
     async def _suspend(self, claim: Claim) -> float:
-        """Has a majority of the members obey the new term.
+        """Has the members obey the new term, so that no majority vouches for the old primary.
 
         Returns:
-            Time, in seconds of the evidence's clock, at which a majority had confirmed.
+            Time, in seconds of the evidence's clock, at which enough had confirmed.
 
         Raises:
-            Superseded: No majority answers.
+            Superseded: Too few answer.
         """
         pools = list(self._group.pools)
         reports = await self._members.reports(
@@ -192,8 +192,8 @@
         ]
         suspended = await self._members.suspend(followers, term)
         log_event(Event.MEMBERS_SUSPENDED, group=claim.group, term=term, members=sorted(suspended))
-        if len(suspended) < majority(len(pools)):
-            raise Superseded("an instance is missing and no majority of the members answers")
+        if not blocks_evidence(suspended, [pool.record for pool in pools]):
+            raise Superseded("an instance is missing and too few members answer")
         return self._control.evidence.now
 
     async def _call(self, claim: Claim) -> bool:
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -6,15 +6,23 @@
 from contextlib import suppress
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from tests.gateway._members import Entry
 from tests.gateway._world import GRACE_S, SERVICE, Caller, World
 from wigeonpoint.backend import LogPosition, MemberRole
 from wigeonpoint.connection.session import CallerGone, MemberReport
 from wigeonpoint.errors import ConditionFailed
-from wigeonpoint.process.gateway.control import CONTROL_TABLE, EVIDENCE_LIFE_S, vouched
+from wigeonpoint.process.gateway.control import (
+    CONTROL_TABLE,
+    EVIDENCE_LIFE_S,
+    blocks_evidence,
+    vouched,
+)
 from wigeonpoint.request.session import Refusal
 from wigeonpoint.services import RowKey, RowTransaction
+from wigeonpoint.version.catalogue import MemberRecord
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
@@ -486,6 +494,61 @@
         assert not vouched("a", reports, list(reports))
 
 
+class TestBlockedEvidence:
+    """Members that obey a new term against those that could vouch for the old primary."""
+
+    @staticmethod
+    def member(name: str, *, born_ms: int = 0, leaving: bool = False) -> MemberRecord:
+        """A member."""
+        return MemberRecord(name, SERVICE, "m:1", "chur", leaving=leaving, born_ms=born_ms)
+
+    def test_both_replicas_of_three_members_suffice(self) -> None:
+        """Guards against a change of primary that needs the lost primary itself."""
+        members = [self.member(name) for name in "abc"]
+        assert blocks_evidence({"b", "c"}, members)
+        assert not blocks_evidence({"b"}, members)
+
+    def test_members_outside_a_cut_suffice_while_one_inside_is_replaced(self) -> None:
+        """Guards against a group that waits for a cut to end because it has four members."""
+        members = [
+            self.member("a", leaving=True),
+            self.member("b"),
+            self.member("c"),
+            self.member("d", born_ms=9),
+        ]
+        assert blocks_evidence({"b", "c"}, members)
+
+    def test_instances_that_do_not_know_the_new_member_count_without_it(self) -> None:
+        """Guards against the old member and a replica that vouch, unknown to the claimant."""
+        members = [
+            self.member("a", leaving=True),
+            self.member("b"),
+            self.member("c"),
+            self.member("d", born_ms=9),
+        ]
+        assert not blocks_evidence({"c", "d"}, members)
+
+    @given(
+        obeying=st.sets(st.sampled_from("abcde")),
+        leaving=st.sets(st.sampled_from("abc"), max_size=1),
+        size=st.integers(min_value=1, max_value=5),
+    )
+    def test_no_majority_is_left_in_any_view(
+        self, obeying: set[str], leaving: set[str], size: int
+    ) -> None:
+        """Guards against two sets of members that vouch and obey without one in common."""
+        names = "abcde"[:size]
+        members = [
+            self.member(name, born_ms=number, leaving=name in leaving)
+            for number, name in enumerate(names)
+        ]
+        if not blocks_evidence(obeying, members):
+            return
+        before = names[: size - len(leaving & set(names))]
+        for view in (set(names), set(names) - leaving, set(before)):
+            assert 2 * len(view - obeying) <= len(view)
+
+
 class TestShutdown:
     """Graceful shutdown of a gateway."""
 
