Keep in touch with some instances only in a large fleet, and share evidence

In a fleet of more than eight, each now watches the next ones in its own and in every other data centre and the one that arranges changes of primary; one instance of a data centre asks the store for evidence on behalf of the others; evidence from members is shared. A peer whose ping is late no longer counts as one that reaches a primary. Changes of a table in quick succession come with one call of the feed.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -61,14 +61,14 @@
         self._transport = platform.peer_transport(settings.peer_address, self._dispatcher)
         self.view = PlatformView(platform, settings.data_centre)
         self._member_control = MemberControl(platform.connector)
-        member_evidence = MemberEvidence(self._member_control, lambda: self.view.groups, clock)
+        self.member_evidence = MemberEvidence(self._member_control, lambda: self.view.groups, clock)
         self.control = ControlState(
             settings.instance_id,
             RegisteredInstance(settings.peer_address, settings.data_centre),
             store=platform.store,
             group=self.view.group,
             members=self._member_control,
-            member_evidence=member_evidence,
+            member_evidence=self.member_evidence,
             clock=clock,
             on_current=self.view.retry_suspects,
         )
@@ -150,6 +150,7 @@
             on_late=self.view.probe_data_centre,
             on_regained=self.view.retry_suspects,
             on_unreachable=self.view.probe_primary,
+            on_vouched=self.member_evidence.take_over,
         )
         peers.register(self._dispatcher)
         return peers
@@ -187,7 +188,8 @@
             store_evidence_age_s=evidence_age_s(self.control),
             unreachable=unreachable,
             leaving=self._draining,
-            in_contact=self.control.evidence.in_contact(self.control.peers),
+            in_contact=self.peers.contact,
+            vouched=self.member_evidence.shared(),
         )
 
     def _send_callers_away(self) -> None:
--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -14,6 +14,9 @@
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.4  # entries count as gone two seconds after the store's return
 RECENT_TROUBLE_S = 2.0
+# After a change the feed is left alone for this long, so that changes in quick succession, as of
+# many instances that start, come with one call.
+GATHER_S = 0.1
 
 OnRows = Callable[[], None]
 
@@ -159,6 +162,8 @@
             log_event(Event.HISTORY_LOST, table=self._table, version=self._version)
             return True
         self._apply_changes(changes)
+        if changes.rows:
+            await asyncio.sleep(GATHER_S)
         return False
 
     def _replace(self, read: RowsRead) -> None:
--- a/src/wigeonpoint/process/gateway/control/__init__.py
+++ b/src/wigeonpoint/process/gateway/control/__init__.py
@@ -22,10 +22,12 @@
     replacement_reason,
 )
 from wigeonpoint.process.gateway.control._records import CONTROL_TABLE
+from wigeonpoint.process.gateway.control._watchlist import FULL_MESH, watched_peers
 
 __all__ = [
     "CONTROL_TABLE",
     "EVIDENCE_LIFE_S",
+    "FULL_MESH",
     "Announcements",
     "Clock",
     "ControlState",
@@ -43,4 +45,5 @@
     "evidence_age_s",
     "replacement_reason",
     "vouched",
+    "watched_peers",
 ]
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from wigeonpoint.backend import LogPosition
@@ -21,6 +22,7 @@
     encode_record,
     instance_row,
 )
+from wigeonpoint.process.gateway.control._watchlist import FULL_MESH, store_reader
 from wigeonpoint.services import RowStore, RowTransaction, VersionedRow
 from wigeonpoint.version.catalogue import (
     Leadership,
@@ -30,7 +32,16 @@
 
 # The store is asked when the evidence of the peers has become this old.
 ASK_AFTER_S = 0.4 * EVIDENCE_LIFE_S
-STEP_S = 0.08
+# In a large fleet one instance of a data centre asks then, and the others only if they do not hear
+# from it; at differing ages, so that the first that asks spares the others the call.
+FIRST_ASK_S = 0.65 * EVIDENCE_LIFE_S
+LATEST_ASK_S = 0.75 * EVIDENCE_LIFE_S
+ANSWER_FACTOR = 1.3  # of the store's usual time to answer, for an answer that takes longer
+LATENCY_WEIGHT = 0.3
+ASK_MARGIN_S = 0.1
+# Members are asked when the other evidence is about to lapse.
+MEMBERS_AFTER_S = 0.8 * EVIDENCE_LIFE_S
+STEP_S = 0.02
 LOADING_STEP_S = 0.01
 WATCH_STEP_S = 0.05
 REGISTER_PAUSE_S = 0.3
@@ -76,6 +87,10 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._leaving = False
         self._renewed = False
+        self._random = random.Random()
+        self._spread_for = float("-inf")
+        self._spread_s = ASK_AFTER_S
+        self._store_latency_s = 0.0
         self._handovers: dict[str, Handover] = {}
         self.evidence = Evidence(clock)
         self.feed = TableFeed(store, CONTROL_TABLE, self._apply_rows)
@@ -108,7 +123,7 @@
     @property
     def _fresh(self) -> bool:
         """Whether store or peers have confirmed the control rows lately."""
-        return self.evidence.age_s(self.peers) < EVIDENCE_LIFE_S / 2
+        return self.evidence.age_s(self.peers) < MEMBERS_AFTER_S
 
     @property
     def isolated(self) -> bool:
@@ -293,11 +308,23 @@
 
     async def _keep_evidence(self) -> None:
         while True:
-            if self.feed.loaded and self.evidence.age_s(self.peers) > ASK_AFTER_S:
+            if self.feed.loaded and self.evidence.age_s(self.peers) > self._ask_after_s():
                 await self._ask_store()
             # Until the control rows are there, nothing can be served that needs a primary.
             await asyncio.sleep(STEP_S if self.feed.loaded else LOADING_STEP_S)
 
+    def _ask_after_s(self) -> float:
+        """Age of the evidence at which the store is asked; one for each piece of evidence."""
+        made_at = self.evidence.store_evidence_at()
+        if made_at != self._spread_for:
+            self._spread_for = made_at
+            self._spread_s = self._random.uniform(FIRST_ASK_S, LATEST_ASK_S)
+        small = len(self._instances) <= FULL_MESH or not self.registered
+        if small or store_reader(self._name, self._instances) == self._name:
+            return ASK_AFTER_S
+        latest = EVIDENCE_LIFE_S - ANSWER_FACTOR * self._store_latency_s - ASK_MARGIN_S
+        return max(min(self._spread_s, latest), 0.0)
+
     async def _ask_store(self) -> None:
         asked_at = self.evidence.now
         try:
@@ -306,6 +333,8 @@
             await asyncio.sleep(ASK_AFTER_S)  # the feed logs that the store is away
             return
         self.evidence.note_store(asked_at)
+        latency = self.evidence.now - asked_at
+        self._store_latency_s += LATENCY_WEIGHT * (latency - self._store_latency_s)
 
     async def _watch_evidence(self) -> None:
         """Notes when evidence is lost and regained."""
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -14,16 +14,16 @@
 from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._peers import GatewayPeers
 from wigeonpoint.process.gateway.control._policy import (
+    AGREED_DARK_AFTER_S,
     PrimaryView,
     ReplacementReason,
-    choose_coordinator,
     replacement_reason,
 )
 from wigeonpoint.process.gateway.control._primary_change import ChangeServices, PrimaryChange
 from wigeonpoint.services import Promoter, RowStore
 from wigeonpoint.version.catalogue import Leadership, LeadershipPhase
 
-STEP_S = 0.05
+STEP_S = 0.02
 RETRY_PAUSE_S = 0.1
 LOST_S = 8.0  # an instance that restarts, or is cut off for a while, is back before
 STUCK_CLAIM_S = 4.0  # a claim that takes longer, with its claimant in contact, is taken over
@@ -94,7 +94,7 @@
 
     async def _withdraw_lost(self) -> None:
         """Withdraws instances that nobody has heard of for long; they would block evidence."""
-        if not self._coordinates():
+        if not self._peers.coordinates:
             self._lost_since.clear()
             return
         now = self._control.evidence.now
@@ -123,32 +123,26 @@
         now = asyncio.get_running_loop().time()
         return now >= self._not_before.get(name, 0.0)
 
-    def _coordinates(self) -> bool:
-        """Whether this instance arranges changes of primary."""
-        contact = self._control.evidence.in_contact(self._control.peers)
-        duty = self._control.records.duty()
-        coordinator = choose_coordinator(
-            own=self._control.name, holder=duty.holder if duty else None, reachable=contact
-        )
-        return coordinator == self._control.name
-
     def _consider(self, name: str, group: Group) -> None:
-        if not self._coordinates():
+        if not self._peers.coordinates:
             return
-        contact = self._control.evidence.in_contact(self._control.peers)
+        contact = self._peers.contact
         leadership = self._control.leadership(name)
         if leadership is not None and leadership.phase is LeadershipPhase.CLAIMED:
             if self._stuck(name, leadership, contact):
                 self._start(name, group, None)
             return
+        view = self._view(group)
         reason = replacement_reason(
-            self._view(group),
+            view,
             self._peers.unreachable_s(name),
-            registered=len(self._control.instances),
+            watched=len(self._peers.watched),
             patience_s=self._patience_s,
         )
         if reason is not None:
             self._start(name, group, reason)
+        elif view.unreachable_s >= AGREED_DARK_AFTER_S:
+            self._peers.ask_now()
 
     def _view(self, group: Group) -> PrimaryView:
         primary_id = group.primary_id
--- a/src/wigeonpoint/process/gateway/control/_member_evidence.py
+++ b/src/wigeonpoint/process/gateway/control/_member_evidence.py
@@ -10,15 +10,18 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Collection, Mapping
 
 from wigeonpoint.connection.session import MemberReport
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway.control._evidence import EVIDENCE_LIFE_S, Clock
 from wigeonpoint.process.gateway.control._member_control import MemberControl
+from wigeonpoint.process.gateway.control._messages import VouchedPrimary
 from wigeonpoint.version.catalogue import MemberRecord
 
 ASK_S = 0.4 * EVIDENCE_LIFE_S
+ASK_SPREAD = 1.8
 STEP_S = 0.08
 WANTED_S = 2.0  # groups whose primary nobody has asked for lately are left alone
 
@@ -90,6 +93,8 @@
         self._members = members
         self._groups = groups
         self._clock = clock
+        self._random = random.Random()
+        self._ask_again_at: dict[str, float] = {}
         self._made: dict[str, tuple[str, float]] = {}
         self._asking: dict[str, asyncio.Task[None]] = {}
         self._task: asyncio.Task[None] | None = None
@@ -100,6 +105,27 @@
         primary, made_at = self._made.get(group, ("", float("-inf")))
         return primary == member_id and self._clock() - made_at < EVIDENCE_LIFE_S
 
+    def shared(self) -> dict[str, VouchedPrimary]:
+        """The evidence that peers can use too, by group."""
+        now = self._clock()
+        return {
+            group: VouchedPrimary(primary, now - made_at)
+            for group, (primary, made_at) in self._made.items()
+            if now - made_at < EVIDENCE_LIFE_S
+        }
+
+    def take_over(self, vouched: Mapping[str, VouchedPrimary], asked_at: float) -> None:
+        """Takes over the evidence of a peer where it is younger than the own.
+
+        Args:
+            vouched: The peer's evidence, by group.
+            asked_at: Time in seconds at which the peer was asked.
+        """
+        for group, evidence in vouched.items():
+            made_at = asked_at - evidence.age_s
+            if made_at > self._made.get(group, ("", float("-inf")))[1]:
+                self._note(group, evidence.member_id, made_at)
+
     def start(self, needed: Callable[[], bool]) -> None:
         """Starts to ask whenever other evidence is missing."""
         self._task = asyncio.create_task(self._run(needed))
@@ -127,7 +153,7 @@
         now = asyncio.get_running_loop().time()
         if now - group.primary_wanted_at > WANTED_S or group.primary is None:
             return False
-        return self._clock() - self._made.get(name, ("", float("-inf")))[1] >= ASK_S
+        return self._clock() >= self._ask_again_at.get(name, float("-inf"))
 
     async def _ask(self, name: str, group: Group) -> None:
         primary = group.primary
@@ -138,4 +164,9 @@
         self.asked += len(records)
         reports = await self._members.reports(records)
         if vouched(primary.record.id, reports, [record.id for record in records]):
-            self._made[name] = (primary.record.id, asked_at)
+            self._note(name, primary.record.id, asked_at)
+
+    def _note(self, group: str, primary: str, made_at: float) -> None:
+        self._made[group] = (primary, made_at)
+        # At differing times, so that instances take over the evidence of the first that asks again.
+        self._ask_again_at[group] = made_at + ASK_S * self._random.uniform(1.0, ASK_SPREAD)
--- a/src/wigeonpoint/process/gateway/control/_messages.py
+++ b/src/wigeonpoint/process/gateway/control/_messages.py
@@ -37,6 +37,19 @@
     data_centre: str
 
 
+@dataclass(frozen=True, slots=True)
+class VouchedPrimary:
+    """Evidence from the members of a group that its primary still leads.
+
+    Attributes:
+        member_id: The primary.
+        age_s: Age of the evidence, in seconds.
+    """
+
+    member_id: str
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayState:
     """Answers a ping.
@@ -49,6 +62,7 @@
         leaving: Whether it is shutting down.
         knows_sender: Whether the sender of the ping is registered as far as it knows.
         in_contact: Registered instances that answer it.
+        vouched: Its evidence from members by group, as far as it is young.
     """
 
     name: str
@@ -58,6 +72,7 @@
     leaving: bool = False
     knows_sender: bool = False
     in_contact: list[str] = field(default_factory=list)
+    vouched: dict[str, VouchedPrimary] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from dataclasses import replace
 
 from wigeonpoint.connection import PeerDispatcher, PeerTransport
@@ -20,19 +21,30 @@
     LeadershipNoted,
     TableCopy,
     TableRow,
+    VouchedPrimary,
 )
+from wigeonpoint.process.gateway.control._policy import choose_coordinator
 from wigeonpoint.process.gateway.control._records import CONTROL_TABLE
+from wigeonpoint.process.gateway.control._watchlist import (
+    FULL_MESH,
+    store_reader,
+    watched_peers,
+)
 from wigeonpoint.services import RowsRead, VersionedRow
 from wigeonpoint.version.catalogue import RegisteredInstance
 
 PING_S = 0.15
+LARGE_FLEET_PING_S = 0.25  # where not all instances watch each other
+READER_PING_S = 0.1  # the instance in the own data centre that asks the store for the others
+ROLL_CALL_S = 1.0  # the coordinator asks all instances this often, to withdraw lost ones
 PING_TIMEOUT_S = 0.25
 # An answer that is later makes the members near the peer suspect, which costs a connection each.
 LATE_PING_S = 0.08
 FETCH_TIMEOUT_S = 0.6
 BEHIND_PINGS = 2  # an own feed that works brings a change before this many pings
 STATE_LIFE_S = 0.8
-VIEW_LIFE_S = 0.35  # two pings; a peer's view of primaries is of no use when older
+# A peer's view of primaries is of no use when older than two pings and this.
+VIEW_MARGIN_S = 0.05
 
 OwnState = Callable[[], GatewayState]
 
@@ -51,6 +63,7 @@
         on_late: Called with the data centre of a peer whose answer is late.
         on_regained: Called with the data centre of a peer that answers again.
         on_unreachable: Called with a group whose primary a peer does not reach.
+        on_vouched: Called with a peer's evidence from members, and the time at which it was asked.
     """
 
     def __init__(
@@ -66,6 +79,7 @@
         on_late: Callable[[str], None],
         on_regained: Callable[[str], None],
         on_unreachable: Callable[[str], None],
+        on_vouched: Callable[[dict[str, VouchedPrimary], float], None],
     ) -> None:
         self._control = control
         self._transport = transport
@@ -76,8 +90,14 @@
         self._on_late = on_late
         self._on_regained = on_regained
         self._on_unreachable = on_unreachable
+        self._on_vouched = on_vouched
         self._ping = GatewayPing(control.name, address, data_centre)
         self._pingers: dict[str, asyncio.Task[None]] = {}
+        self._intervals: dict[str, float] = {}
+        self._hurry = asyncio.Event()
+        self._late: set[str] = set()  # addresses whose last ping is or was not answered in time
+        self._watch_key: tuple[int, int, str | None] | None = None
+        self._watched: frozenset[str] = frozenset()
         self._states: dict[str, tuple[float, GatewayState]] = {}
         self._behind: dict[tuple[str, str], int] = {}
         self._keeper: asyncio.Task[None] | None = None
@@ -98,6 +118,31 @@
         for task in self._pingers.values():
             task.cancel()
 
+    @property
+    def watched(self) -> frozenset[str]:
+        """Names of the instances that this one keeps in touch with."""
+        duty = self._control.records.duty()
+        holder = duty.holder if duty else None
+        instances = self._control.instances
+        if self._watch_key != (id(instances), len(instances), holder):
+            self._watch_key = (id(instances), len(instances), holder)
+            self._watched = watched_peers(self._control.name, instances, holder=holder)
+        return self._watched
+
+    @property
+    def contact(self) -> list[str]:
+        """Watched instances that answer."""
+        return self._control.evidence.in_contact(self.watched)
+
+    @property
+    def coordinates(self) -> bool:
+        """Whether this instance arranges changes of primary and withdraws lost instances."""
+        duty = self._control.records.duty()
+        coordinator = choose_coordinator(
+            own=self._control.name, holder=duty.holder if duty else None, reachable=self.contact
+        )
+        return coordinator == self._control.name
+
     def state(self, name: str) -> GatewayState | None:
         """What a peer said lately, None if it does not answer."""
         return self._state(name, STATE_LIFE_S)
@@ -107,9 +152,19 @@
         states = [self.state(peer) for peer in self._control.peers if peer != name]
         return not any(state is not None and name in state.in_contact for state in states)
 
+    def ask_now(self) -> None:
+        """Pings all instances at once, because a decision waits for what they see."""
+        self._hurry.set()
+        self._hurry = asyncio.Event()
+
     def unreachable_s(self, group: str) -> dict[str, float]:
         """For each peer that answers, the seconds for which it has not reached a primary."""
-        states = {name: self._state(name, VIEW_LIFE_S) for name in self._control.peers}
+        peers = self._control.peers
+        states = {
+            name: self._state(name, self._view_life_s)
+            for name in self.watched
+            if name in peers and peers[name].address not in self._late
+        }
         return {
             name: state.unreachable.get(group, 0.0)
             for name, state in states.items()
@@ -147,16 +202,39 @@
             return False  # the claimant logs who did not confirm
         return reply.epoch >= message.leadership.epoch
 
+    @property
+    def _large(self) -> bool:
+        return len(self._control.instances) > FULL_MESH
+
+    @property
+    def _view_life_s(self) -> float:
+        return 2 * (LARGE_FLEET_PING_S if self._large else PING_S) + VIEW_MARGIN_S
+
+    def _wanted(self) -> dict[str, float]:
+        """Addresses to ping, with the seconds between two pings."""
+        peers = self._control.peers
+        interval = LARGE_FLEET_PING_S if self._large else PING_S
+        wanted: dict[str, float] = {}
+        if self.coordinates:
+            wanted = {peer.address: ROLL_CALL_S for peer in peers.values()}
+        wanted |= {peers[name].address: interval for name in self.watched if name in peers}
+        if self._large and self._control.registered:
+            reader = peers.get(store_reader(self._control.name, self._control.instances))
+            if reader is not None:
+                wanted[reader.address] = READER_PING_S
+        if not self._control.feed.loaded or not wanted:
+            wanted |= dict.fromkeys(self._seeds, interval)
+        wanted.pop(self._address, None)
+        return wanted
+
     async def _keep_pingers(self) -> None:
         while True:
-            wanted = {peer.address for peer in self._control.peers.values()}
-            if not self._control.feed.loaded or not wanted:
-                wanted.update(self._seeds)
-            wanted.discard(self._address)
+            wanted = self._intervals = self._wanted()
             for address in self._pingers.keys() - wanted:
                 self._pingers.pop(address).cancel()
+                self._late.discard(address)
                 self._transport.disconnect(address)
-            for address in wanted - self._pingers.keys():
+            for address in wanted.keys() - self._pingers.keys():
                 self._pingers[address] = asyncio.create_task(self._ping_peer(address))
             await asyncio.sleep(PING_S)
 
@@ -164,9 +242,7 @@
         reached = True
         while True:
             asked_at = self._control.evidence.now
-            late = asyncio.get_running_loop().call_later(
-                LATE_PING_S, self._report, address, self._on_late
-            )
+            late = asyncio.get_running_loop().call_later(LATE_PING_S, self._note_late, address)
             try:
                 state = await self._transport.request(
                     address, self._ping, GatewayState, timeout=PING_TIMEOUT_S
@@ -176,9 +252,10 @@
                 self._transport.disconnect(address)
                 if reached:
                     log_event(Event.PEER_LOST, address=address, reason=error.message)
-                    self._report(address, self._on_late)
+                self._note_late(address)
                 reached = False
             else:
+                self._late.discard(address)
                 if not reached:
                     log_event(Event.PEER_REGAINED, address=address, peer=state.name)
                     self._report(address, self._on_regained)
@@ -186,7 +263,18 @@
                 self._note(state, asked_at)
             finally:
                 late.cancel()
-            await asyncio.sleep(PING_S)
+            await self._pause(self._intervals.get(address, PING_S))
+
+    async def _pause(self, seconds: float) -> None:
+        """Waits for the next ping; `ask_now` ends the wait."""
+        hurry = self._hurry
+        with suppress(TimeoutError):
+            await asyncio.wait_for(hurry.wait(), seconds)
+
+    def _note_late(self, address: str) -> None:
+        if address not in self._late:
+            self._late.add(address)
+            self._report(address, self._on_late)
 
     def _report(self, address: str, listener: Callable[[str], None]) -> None:
         for peer in self._control.peers.values():
@@ -197,6 +285,7 @@
         self._states[state.name] = (asked_at, state)
         for group in state.unreachable:
             self._on_unreachable(group)
+        self._on_vouched(state.vouched, asked_at)
         if not state.knows_sender:
             return  # its claims would not wait for this instance
         self._control.evidence.note_peer(
--- a/src/wigeonpoint/process/gateway/control/_policy.py
+++ b/src/wigeonpoint/process/gateway/control/_policy.py
@@ -61,14 +61,14 @@
 
 
 def replacement_reason(
-    view: PrimaryView, peers: Mapping[str, float], *, registered: int, patience_s: float
+    view: PrimaryView, peers: Mapping[str, float], *, watched: int, patience_s: float
 ) -> ReplacementReason | None:
     """Why the primary should be replaced, or None.
 
     Args:
         view: What this instance knows of the primary.
         peers: For each peer that answers, the seconds for which it has not reached the primary.
-        registered: Registered instances, this one included.
+        watched: Instances that this one keeps in touch with.
         patience_s: Seconds for which a leaving primary stays in place while an instance is missing.
             Without its consent the primary would have to be cut off from its replicas before its
             successor leads, and most missing instances are back within seconds.
@@ -76,11 +76,11 @@
     if view.replicas == 0:
         return None
     voters = 1 + len(peers)
-    if 2 * voters < registered:
+    if 2 * voters < 1 + watched:
         return None  # too few instances are in contact; the others may well reach the primary
     if not view.listed:
         return ReplacementReason.GONE
-    if view.leaving_s is not None and (voters == registered or view.leaving_s >= patience_s):
+    if view.leaving_s is not None and (voters == 1 + watched or view.leaving_s >= patience_s):
         return ReplacementReason.LEAVING
     missing = sum(1 for seconds in [view.unreachable_s, *peers.values()] if seconds > 0)
     agreed = missing == voters and voters > 1
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -140,9 +140,8 @@
                 not answer either.
         """
         peers = self._control.peers
-        contact = self._control.evidence.in_contact(peers)
         suspension: asyncio.Task[float] | None = None
-        if len(contact) < len(peers) and not self._planned:
+        if len(self._peers.contact) < len(self._peers.watched) and not self._planned:
             suspension = asyncio.create_task(self._suspend(claim))
         try:
             missing = peers.keys() - await self._announce_claim(claim)
--- a/tests/gateway/test_policy.py
+++ b/tests/gateway/test_policy.py
@@ -32,58 +32,55 @@
 
     def test_reachable_primary_stays(self) -> None:
         """Guards against a promotion without a cause."""
-        assert (
-            replacement_reason(HEALTHY, {"b": 3.0, "c": 0.0}, registered=3, patience_s=3.0) is None
-        )
+        assert replacement_reason(HEALTHY, {"b": 3.0, "c": 0.0}, watched=2, patience_s=3.0) is None
 
     def test_primary_that_most_do_not_reach_is_replaced(self) -> None:
         """Guards against a dark primary that stays."""
-        reason = replacement_reason(DARK, {"b": 0.1, "c": 0.0}, registered=3, patience_s=3.0)
+        reason = replacement_reason(DARK, {"b": 0.1, "c": 0.0}, watched=2, patience_s=3.0)
         assert reason is ReplacementReason.UNREACHABLE
 
     def test_primary_that_no_instance_reaches_is_replaced_sooner(self) -> None:
         """Guards against a gap in which every instance knows already that the primary is gone."""
         view = PrimaryView(listed=True, leaving_s=None, unreachable_s=0.16, replicas=2)
-        reason = replacement_reason(view, {"b": 0.1, "c": 0.05}, registered=4, patience_s=3.0)
+        reason = replacement_reason(view, {"b": 0.1, "c": 0.05}, watched=3, patience_s=3.0)
         assert reason is ReplacementReason.UNREACHABLE
-        assert replacement_reason(view, {"b": 0.1, "c": 0.0}, registered=4, patience_s=3.0) is None
+        assert replacement_reason(view, {"b": 0.1, "c": 0.0}, watched=3, patience_s=3.0) is None
 
     def test_single_instance_takes_its_own_word_for_it_only_after_a_second_try(self) -> None:
         """Guards against a promotion for one lost packet where there is nobody to agree."""
         view = PrimaryView(listed=True, leaving_s=None, unreachable_s=0.16, replicas=2)
-        assert replacement_reason(view, {}, registered=1, patience_s=3.0) is None
+        assert replacement_reason(view, {}, watched=0, patience_s=3.0) is None
 
     def test_primary_that_half_of_the_instances_reach_stays(self) -> None:
         """Guards against a promotion for a fault between some instances and the primary."""
-        assert replacement_reason(DARK, {"b": 0.0}, registered=2, patience_s=3.0) is None
+        assert replacement_reason(DARK, {"b": 0.0}, watched=1, patience_s=3.0) is None
 
     def test_too_few_instances_in_contact_decide_nothing(self) -> None:
         """Guards against a promotion by an instance that is cut off itself."""
-        assert replacement_reason(DARK, {}, registered=3, patience_s=3.0) is None
+        assert replacement_reason(DARK, {}, watched=2, patience_s=3.0) is None
 
     def test_leaving_and_missing_primaries_are_replaced(self) -> None:
         """Guards against a primary that ends without a successor."""
         leaving = PrimaryView(listed=True, leaving_s=0.0, unreachable_s=0.0, replicas=1)
         gone = PrimaryView(listed=False, leaving_s=None, unreachable_s=0.0, replicas=1)
         assert (
-            replacement_reason(leaving, {}, registered=1, patience_s=3.0)
-            is ReplacementReason.LEAVING
+            replacement_reason(leaving, {}, watched=0, patience_s=3.0) is ReplacementReason.LEAVING
         )
-        assert replacement_reason(gone, {}, registered=1, patience_s=3.0) is ReplacementReason.GONE
+        assert replacement_reason(gone, {}, watched=0, patience_s=3.0) is ReplacementReason.GONE
 
     def test_leaving_primary_waits_for_a_missing_instance(self) -> None:
         """Guards against a primary cut off from its replicas for an instance that soon returns."""
         early = PrimaryView(listed=True, leaving_s=1.0, unreachable_s=0.0, replicas=2)
         late = PrimaryView(listed=True, leaving_s=3.0, unreachable_s=0.0, replicas=2)
         peers = {"b": 0.0}
-        assert replacement_reason(early, peers, registered=3, patience_s=3.0) is None
-        reason = replacement_reason(late, peers, registered=3, patience_s=3.0)
+        assert replacement_reason(early, peers, watched=2, patience_s=3.0) is None
+        reason = replacement_reason(late, peers, watched=2, patience_s=3.0)
         assert reason is ReplacementReason.LEAVING
 
     def test_without_a_replica_nothing_is_done(self) -> None:
         """Guards against a claim that nobody can take over."""
         alone = PrimaryView(listed=True, leaving_s=0.0, unreachable_s=9.0, replicas=0)
-        assert replacement_reason(alone, {}, registered=1, patience_s=3.0) is None
+        assert replacement_reason(alone, {}, watched=0, patience_s=3.0) is None
 
 
 class TestCandidate:
--- /dev/null
+++ b/tests/gateway/test_watchlist.py
@@ -0,0 +1,184 @@
+"""Fleets in which an instance does not keep in touch with every other one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.gateway._world import DATA_CENTRES, World
+from wigeonpoint.process.gateway._table_feed import FEED_WAIT_S
+from wigeonpoint.process.gateway.control import CONTROL_TABLE, FULL_MESH, watched_peers
+from wigeonpoint.process.gateway.control._control_state import ASK_AFTER_S
+from wigeonpoint.process.gateway.control._member_evidence import ASK_S
+from wigeonpoint.process.gateway.control._watchlist import store_reader
+from wigeonpoint.version.catalogue import RegisteredInstance
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+MANY = 24
+# A promotion in the model takes 0.3 s; pings are less frequent in a large fleet.
+CRASH_GAP_S = 0.3 + 1.0
+
+
+def fleet(size: int, data_centres: int) -> dict[str, RegisteredInstance]:
+    """Instances spread over data centres."""
+    return {
+        f"dc{number % data_centres}-{number:04}": RegisteredInstance(
+            f"a{number}:1", f"dc{number % data_centres}"
+        )
+        for number in range(size)
+    }
+
+
+class TestWatchedPeers:
+    """Which instances an instance pings."""
+
+    def test_small_fleet_watches_everybody(self) -> None:
+        """Guards against a small fleet that cannot do without the store."""
+        instances = fleet(FULL_MESH, 3)
+        assert watched_peers("dc0-0000", instances, holder=None) == instances.keys() - {"dc0-0000"}
+
+    @given(size=st.integers(9, 120), data_centres=st.integers(1, 13))
+    def test_watched_instances_do_not_grow_with_the_fleet(
+        self, size: int, data_centres: int
+    ) -> None:
+        """Guards against messages that grow with the square of the fleet."""
+        instances = fleet(size, data_centres)
+        for own in instances:
+            watched = watched_peers(own, instances, holder="dc0-0000")
+            assert len(watched) <= 2 * data_centres + 2
+            assert own not in watched
+            elsewhere = {instances[name].data_centre for name in watched}
+            assert elsewhere >= {peer.data_centre for peer in instances.values()} - {
+                instances[own].data_centre
+            }
+
+    def test_every_instance_is_watched_by_several(self) -> None:
+        """Guards against an instance whose loss nobody notices."""
+        instances = fleet(120, 5)
+        watchers = Counter(
+            name for own in instances for name in watched_peers(own, instances, holder=None)
+        )
+        assert min(watchers[name] for name in instances) >= 2
+
+    def test_holder_of_the_duty_is_watched_by_all(self) -> None:
+        """Guards against a holder whose loss only some know, and several that take its place."""
+        instances = fleet(60, 3)
+        for own in instances.keys() - {"dc2-0056"}:
+            assert "dc2-0056" in watched_peers(own, instances, holder="dc2-0056")
+
+    def test_instances_watch_the_one_that_asks_the_store_for_them(self) -> None:
+        """Guards against a store that every instance of a large fleet asks for evidence."""
+        instances = fleet(60, 3)
+        readers = {store_reader(own, instances) for own in instances}
+        assert len(readers) == 3
+        for own in instances.keys() - readers:
+            assert store_reader(own, instances) in watched_peers(own, instances, holder=None)
+
+
+class TestLargeFleet:
+    """The same promises with many instances."""
+
+    @staticmethod
+    async def grow(world: World) -> None:
+        """Starts more instances, before members that accept connections from all of them."""
+        for member in world.group.members.values():
+            member.connection_limit = 8 * MANY
+        for number in range(MANY - len(DATA_CENTRES)):
+            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            world.start(f"h-{data_centre}-{number}", data_centre)
+        await asyncio.sleep(2.0)
+
+    async def test_crashed_primary_is_replaced(self) -> None:
+        """Guards against a fleet in which too few are asked to agree on a lost primary."""
+        async with World() as world:
+            await self.grow(world)
+            caller = await world.caller("h-sargans-8", "current")
+            world.member("chur").running = False
+            result, gap = await world.write_until_served(caller, "WRITE a x", within_s=5.0)
+            assert result.served
+            assert gap <= CRASH_GAP_S
+            assert len(world.calls) == 1
+
+    async def test_lost_holder_is_replaced_by_one_instance(self) -> None:
+        """Guards against a fleet without anybody who arranges changes of primary."""
+        async with World() as world:
+            await self.grow(world)
+            caller = await world.caller("h-sargans-8", "current")
+            world.member("chur").running = False
+            await world.write_until_served(caller, "WRITE a x", within_s=5.0)
+            world.member("chur").running = True
+            await asyncio.sleep(1.0)
+            world.kill(world.calls[0].holder)
+            await asyncio.sleep(1.5)
+            world.group.leader().running = False
+            result, _ = await world.write_until_served(caller, "WRITE a y", within_s=8.0)
+            assert result.served
+            tokens = [call.token for call in world.calls]
+            assert tokens == sorted(tokens)
+            assert len({(call.token, call.holder) for call in world.calls}) == 2
+
+    async def test_lost_instance_is_withdrawn_and_no_other(self) -> None:
+        """Guards against a holder that withdraws instances that it does not watch."""
+        async with World() as world:
+            await self.grow(world)
+            caller = await world.caller("h-sargans-8", "current")
+            world.member("chur").running = False
+            await world.write_until_served(caller, "WRITE a x", within_s=5.0)
+            world.kill("h-stgallen-7")
+            await asyncio.sleep(14.0)
+            known = world.nodes["g-sargans"].gateway.control.instances
+            assert known.keys() == world.nodes.keys()
+
+    async def test_members_vouch_while_the_store_is_away(self) -> None:
+        """Guards against an outage of the store that stops the writes of a large fleet."""
+        async with World() as world:
+            await self.grow(world)
+            caller = await world.caller("h-sargans-8", "current")
+            await caller.query("WRITE a first")
+            world.store.down = True
+            await asyncio.sleep(1.0)
+            await caller.query("WRITE a second")
+            await asyncio.sleep(0.5)
+            for number in range(30):
+                assert (await caller.query(f"WRITE a {number}")).served
+                await asyncio.sleep(0.1)
+
+    async def test_calm_fleet_keeps_all_its_instances(self) -> None:
+        """Guards against a coordinator that withdraws instances that it does not ask."""
+        async with World() as world:
+            await self.grow(world)
+            await asyncio.sleep(12.0)
+            written = Counter(row.key for row in world.store.history if row.table == CONTROL_TABLE)
+            assert written == {f"instance/{name}": 1 for name in world.nodes}
+
+    async def test_store_is_asked_by_few(self) -> None:
+        """Guards against calls of the store that grow with the fleet."""
+        async with World() as world:
+            await self.grow(world)
+            before = world.store.calls
+            await asyncio.sleep(10.0)
+            feeds = 3 * MANY * 10.0 / FEED_WAIT_S
+            each_for_itself = 10.0 * MANY / ASK_AFTER_S
+            assert world.store.calls - before <= feeds + each_for_itself / 4
+            for node in world.nodes.values():
+                assert node.gateway.control.current
+
+    async def test_instances_share_what_members_vouch_for(self) -> None:
+        """Guards against members that are asked by every instance of a large fleet."""
+        async with World() as world:
+            await self.grow(world)
+            callers = [await world.caller(name, "current") for name in list(world.nodes)]
+            world.store.down = True
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            for _ in range(30):
+                await asyncio.gather(*(one.query("READ a") for one in callers if not one.closed))
+                await asyncio.sleep(0.1)
+            asked = sum(node.gateway.member_evidence.asked for node in world.nodes.values())
+            each_for_itself = (loop.time() - began) / ASK_S * len(DATA_CENTRES) * MANY
+            assert asked <= each_for_itself / 2
