Serve metrics, log slow statements, and explain a request from the logs

A refused statement names its group and session, and one that was served later than its objective has a line. wigeonpoint explain ID LOG... joins the logs of several instances around one request and names the likeliest cause.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -24,6 +24,7 @@
     STOPPED_AT_ONCE = (105, logging.WARNING, "second signal: stopping without finishing work")
     SETTINGS_READ = (106, logging.INFO, "settings file read again")
     SETTINGS_REFUSED = (107, logging.WARNING, "changed settings file is wrong and not used")
+    METRICS_UNAVAILABLE = (108, logging.ERROR, "metrics cannot be served")
 
     MEMBER_DEAD = (300, logging.WARNING, "an instance was declared dead")
     DIRECTORY_UNAVAILABLE = (301, logging.WARNING, "the platform's list cannot be read")
@@ -78,6 +79,7 @@
     STATEMENT_REFUSED = (603, logging.INFO, "statement refused")
     STATEMENT_IN_DOUBT = (604, logging.WARNING, "the outcome of a statement is not known")
     STATEMENT_RETRIED = (605, logging.INFO, "statement is tried again")
+    STATEMENT_SLOW = (608, logging.INFO, "statement was answered later than its objective")
     TRANSACTION_ABORTED = (606, logging.INFO, "transaction rolled back")
     MESSAGE_REFUSED = (607, logging.INFO, "a caller's message cannot be read")
 
--- a/src/wigeonpoint/cli/_gateway.py
+++ b/src/wigeonpoint/cli/_gateway.py
@@ -20,11 +20,27 @@
     read_platform_settings,
 )
 from wigeonpoint.process import configure_logs
-from wigeonpoint.process.gateway import Gateway, GatewaySettings
+from wigeonpoint.process.gateway import (
+    Gateway,
+    GatewayMetrics,
+    GatewaySettings,
+    serve_metrics,
+)
 
 INVALID_SETTINGS_STATUS = 2
 
 
+def _parse_address(
+    context: click.Context, parameter: click.Parameter, value: str | None
+) -> tuple[str, int] | None:
+    if value is None:
+        return None
+    host, _, port = value.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise click.BadParameter(f"{value!r} is not HOST:PORT")
+    return host, int(port)
+
+
 @click.command()
 @click.option(
     "--settings",
@@ -33,7 +49,14 @@
     default=lambda: Path(os.environ.get(PATH_VARIABLE, DEFAULT_PATH)),
     help="Settings file of the platform; the environment names it by default.",
 )
-def gateway(path: Path) -> None:
+@click.option(
+    "--metrics",
+    "metrics_address",
+    metavar="HOST:PORT",
+    callback=_parse_address,
+    help="Where to serve metrics; not served without it.",
+)
+def gateway(path: Path, metrics_address: tuple[str, int] | None) -> None:
     """Run an entry instance on the users' platform until SIGTERM.
 
     Example: wigeonpoint gateway --settings /etc/wigeonpoint/settings.toml
@@ -43,10 +66,12 @@
     except SettingsError as error:
         click.echo(f"error {int(error.code)} {error.code.label}: {error.message}", err=True)
         sys.exit(INVALID_SETTINGS_STATUS)
-    asyncio.run(_run(settings, path))
+    asyncio.run(_run(settings, path, metrics_address))
 
 
-async def _run(settings: GatewaySettings, path: Path) -> None:
+async def _run(
+    settings: GatewaySettings, path: Path, metrics_address: tuple[str, int] | None
+) -> None:
     configure_logs("INFO", instance_id=settings.instance_id, stream=sys.stdout)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -55,6 +80,8 @@
     loop.add_signal_handler(signal.SIGHUP, _reload, path)
     process = Gateway(settings, UserPlatform(settings))
     process.start()
+    if metrics_address is not None:
+        _serve_metrics(process, metrics_address)
     gc.collect()
     gc.freeze()
     await stopping.wait()
@@ -62,6 +89,14 @@
     process.stop()
 
 
+def _serve_metrics(process: Gateway, address: tuple[str, int]) -> None:
+    """Serves metrics; an instance that cannot do so serves its callers all the same."""
+    try:
+        serve_metrics(GatewayMetrics(process), *address)
+    except OSError as error:
+        log_event(Event.METRICS_UNAVAILABLE, address=f"{address[0]}:{address[1]}", error=str(error))
+
+
 def _reload(path: Path) -> None:
     """Checks the changed settings file; addresses stay as they were bound at the start."""
     try:
--- a/src/wigeonpoint/cli/_main.py
+++ b/src/wigeonpoint/cli/_main.py
@@ -11,6 +11,7 @@
 # Module and attribute of each command; a process imports only the command that it runs.
 _COMMANDS = {
     "check": ("wigeonpoint.cli._check", "check"),
+    "explain": ("wigeonpoint.cli._explain", "explain"),
     "gateway": ("wigeonpoint.cli._gateway", "gateway"),
     "load": ("wigeonpoint.cli._load", "load"),
     "pool": ("wigeonpoint.cli._rows", "pool"),
--- a/src/wigeonpoint/process/gateway/__init__.py
+++ b/src/wigeonpoint/process/gateway/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from wigeonpoint.process.gateway._gateway import Gateway
+from wigeonpoint.process.gateway._metrics import GatewayMetrics, serve_metrics
 from wigeonpoint.process.gateway._platform import (
     GatewayPlatform,
     IsReady,
@@ -14,10 +15,12 @@
 
 __all__ = [
     "Gateway",
+    "GatewayMetrics",
     "GatewayPlatform",
     "GatewaySettings",
     "IsReady",
     "Listener",
     "ServeCaller",
     "TableNames",
+    "serve_metrics",
 ]
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_metrics.py
@@ -0,0 +1,164 @@
+"""Metrics of a gateway in the Prometheus format."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from wigeonpoint.request.session import Refusal
+from wigeonpoint.version.catalogue import DatabaseRoute
+
+if TYPE_CHECKING:
+    from wigeonpoint.process.gateway._gateway import Gateway
+
+METRICS_PATH = "/metrics"
+# Seconds; around the objectives and the time limits that routes usually have.
+LATENCY_BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 3.0, 5.0]
+
+
+class StatementMetrics:
+    """Counts answered statements, and how long they took."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self._latency = Histogram(
+            "wigeonpoint_statement_seconds",
+            "Time from a statement's arrival to its answer, by rank.",
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self._statements = Counter(
+            "wigeonpoint_statements_total",
+            "Answered statements by route, rank and outcome.",
+            registry=self.registry,
+        )
+
+    def note(self, route: DatabaseRoute | None, refusal: Refusal | None, seconds: float) -> None:
+        """Counts an answered statement.
+
+        Args:
+            route: The route of its session, None if it is gone.
+            refusal: Why there was no result, or None.
+            seconds: Time from its arrival to its answer.
+        """
+        rank = str(route.rank) if route is not None else "none"
+        self._latency.observe({"rank": rank}, seconds)
+        self._statements.inc(
+            {
+                "route": route.name if route is not None else "none",
+                "rank": rank,
+                "outcome": refusal.name.lower() if refusal is not None else "done",
+            }
+        )
+
+
+class GatewayMetrics:
+    """All metrics of a gateway.
+
+    What can be read from the parts of the gateway is read when a scrape asks for it.
+
+    Args:
+        gateway: The gateway.
+    """
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+
+    def render(self, accept: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Renders the metrics.
+
+        Args:
+            accept: Values of the Accept header.
+
+        Returns:
+            Body and headers.
+        """
+        registry = Registry()
+        self._add_state(registry)
+        self._add_members(registry)
+        self._add_retries(registry)
+        counted, _ = render(self._gateway.sessions.metrics.registry, accept)
+        read, headers = render(registry, accept)
+        return counted + read, headers
+
+    def _add_state(self, registry: Registry) -> None:
+        gateway = self._gateway
+        control = gateway.control
+        for name, text, value in (
+            ("ready", "Whether the balancer should send callers here.", gateway.ready),
+            ("sessions", "Open sessions.", gateway.sessions.sessions),
+            ("transactions", "Transactions bound to a connection.", gateway.transactions.open),
+            ("configuration_version", "Configuration in force.", gateway.view.catalogue().version),
+            ("instances", "Registered instances.", len(control.instances)),
+            ("instances_in_contact", "Watched instances that answer.", len(gateway.peers.contact)),
+            ("primaries_usable", "Whether there is evidence for primaries.", control.current),
+            ("member_questions_total", "Questions to members.", gateway.member_evidence.asked),
+        ):
+            Gauge(f"wigeonpoint_{name}", text, registry=registry).set({}, float(value))
+        calls = Gauge("wigeonpoint_store_calls_total", "Calls by table.", registry=registry)
+        feeds = {"control": control.feed, "operators": gateway.view.operators}
+        for table, feed in (feeds | {"members": gateway.view.members}).items():
+            calls.set({"table": table}, feed.calls)
+
+    def _add_members(self, registry: Registry) -> None:
+        text = "Connections by member and use."
+        links = Gauge("wigeonpoint_member_connections", text, registry=registry)
+        text = "Connections opened and refused so far, by member."
+        opened = Gauge("wigeonpoint_member_connects_total", text, registry=registry)
+        text = "Statements that wait for a connection, by member."
+        waiting = Gauge("wigeonpoint_member_waiting", text, registry=registry)
+        text = "Whether fresh work goes to a member."
+        available = Gauge("wigeonpoint_member_available", text, registry=registry)
+        text = "Smoothed seconds of an answer, by member."
+        latency = Gauge("wigeonpoint_member_latency_seconds", text, registry=registry)
+        for group in self._gateway.view.groups.values():
+            for pool in group.pools:
+                role = "primary" if pool.record.id == group.primary_id else "replica"
+                labels = {"group": group.name, "member": pool.record.id, "role": role}
+                links.set({**labels, "use": "open"}, pool.open)
+                links.set({**labels, "use": "in_use"}, pool.in_use)
+                opened.set({**labels, "result": "opened"}, pool.opened)
+                opened.set({**labels, "result": "refused"}, pool.refused)
+                waiting.set(labels, pool.waiting)
+                available.set(labels, float(pool.health.available))
+                latency.set(labels, pool.latency.mean_s)
+
+    def _add_retries(self, registry: Registry) -> None:
+        budgets = self._gateway.executor.budgets
+        text = "Retries that the budgets of the routes allowed or refused."
+        retries = Gauge("wigeonpoint_retries_total", text, registry=registry)
+        retries.set({"result": "allowed"}, budgets.retries)
+        retries.set({"result": "refused"}, budgets.refusals)
+
+
+def serve_metrics(metrics: GatewayMetrics, host: str, port: int) -> HTTPServer:
+    """Serves the metrics until the server is stopped.
+
+    Raises:
+        OSError: The address cannot be used.
+    """
+    application = Application(
+        [(METRICS_PATH, _MetricsHandler, {"metrics": metrics})],
+        log_function=lambda handler: None,
+    )
+    server = HTTPServer(application)
+    server.listen(port, host)
+    return server
+
+
+class _MetricsHandler(RequestHandler):
+    """`GET /metrics`."""
+
+    def initialize(self, metrics: GatewayMetrics) -> None:
+        """Takes the metrics."""
+        self._metrics = metrics
+
+    def get(self) -> None:
+        """Answers a scrape."""
+        body, headers = self._metrics.render(self.request.headers.get_list("Accept"))
+        for name, value in headers.items():
+            self.set_header(name, value)
+        self.finish(body)
--- a/src/wigeonpoint/process/gateway/_session_service.py
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -20,6 +20,7 @@
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._executor import StatementExecutor, Work
 from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.process.gateway._metrics import StatementMetrics
 from wigeonpoint.process.gateway._transactions import TransactionRunner
 from wigeonpoint.request import Access
 from wigeonpoint.request.session import (
@@ -71,6 +72,7 @@
         self._transactions = transactions
         self._sessions: dict[CallerSession, CallerConnection] = {}
         self._running: set[CallerSession] = set()
+        self.metrics = StatementMetrics()
 
     @property
     def sessions(self) -> int:
@@ -186,22 +188,44 @@
         session: CallerSession,
         statement: SessionStatement,
     ) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         self._running.add(session)
         try:
             reply = await self._run(session, statement)
             await connection.reply(reply, session.state)
         finally:
             self._running.discard(session)
-            session.active_at = asyncio.get_running_loop().time()
+            session.active_at = loop.time()
+        self._note(session, statement, reply, loop.time() - began)
+
+    def _note(
+        self,
+        session: CallerSession,
+        statement: SessionStatement,
+        reply: Reply,
+        seconds: float,
+    ) -> None:
+        """Counts an answered statement, and logs it unless it is one of many that went well."""
+        route = self._route(session)
+        self.metrics.note(route, reply.refusal, seconds)
+        fields = {
+            "request": statement.id,
+            "database": session.database,
+            "group": route.service if route is not None else None,
+            "session": session.number,
+            "ms": round(seconds * 1000),
+        }
         if reply.refusal is not None:
             log_event(
                 Event.STATEMENT_REFUSED,
-                request=statement.id,
-                database=session.database,
+                **fields,
                 refusal=reply.refusal.name.lower(),
                 reason=reply.message,
                 retry_after_ms=reply.retry_after_ms,
             )
+        elif route is not None and seconds > route.target_s:
+            log_event(Event.STATEMENT_SLOW, **fields, target_ms=round(route.target_s * 1000))
 
     async def _run(self, session: CallerSession, statement: SessionStatement) -> Reply:
         if session.state is TransactionState.FAILED:
--- a/src/wigeonpoint/report/__init__.py
+++ b/src/wigeonpoint/report/__init__.py
@@ -1,4 +1,4 @@
-"""The service-level burn report: counting, merging, and its text and HTML forms."""
+"""Reports: service-level burn in text and HTML, and what the logs say of one request."""
 
 from __future__ import annotations
 
@@ -14,6 +14,7 @@
 from wigeonpoint.report._burn_html import burn_html
 from wigeonpoint.report._burn_report import BurnReport, BurnRow, Objective, build_burn_report
 from wigeonpoint.report._burn_text import burn_table
+from wigeonpoint.report._explain import Explanation, LogLine, explain_request, parse_log
 
 __all__ = [
     "WINDOWS",
@@ -23,10 +24,14 @@
     "BurnRow",
     "BurnSnapshot",
     "BurnWindow",
+    "Explanation",
+    "LogLine",
     "Objective",
     "WindowCounts",
     "build_burn_report",
     "burn_html",
     "burn_table",
+    "explain_request",
     "merge_snapshots",
+    "parse_log",
 ]
--- /dev/null
+++ b/tests/gateway/test_metrics.py
@@ -0,0 +1,36 @@
+"""Metrics of a gateway: what was answered, and the state behind it."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.gateway._world import World
+from wigeonpoint.process.gateway import GatewayMetrics
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+
+class TestGatewayMetrics:
+    """What a scrape shows."""
+
+    async def test_answers_are_counted_by_route_rank_and_outcome(self) -> None:
+        """Guards against refusals that no metric shows."""
+        async with World() as world:
+            gateway = world.nodes["g-chur"].gateway
+            caller = await world.caller("g-chur", "current")
+            await caller.query("WRITE a 1")
+            await caller.query("COMMIT")
+            text = GatewayMetrics(gateway).render([])[0].decode()
+            assert 'outcome="done",rank="urgent",route="r-current"' in text
+            assert 'outcome="malformed",rank="urgent",route="r-current"' in text
+            assert 'wigeonpoint_statement_seconds_count{rank="urgent"} 2' in text
+
+    async def test_state_of_members_and_evidence_is_shown(self) -> None:
+        """Guards against an instance that refuses writes without a metric that tells why."""
+        async with World() as world:
+            gateway = world.nodes["g-chur"].gateway
+            text = GatewayMetrics(gateway).render([])[0].decode()
+            assert "wigeonpoint_primaries_usable 1" in text
+            assert "wigeonpoint_instances 3" in text
+            assert 'member="m-chur",role="primary"' in text
+            assert 'wigeonpoint_store_calls_total{table="members"}' in text
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -137,4 +137,10 @@
     "PRIMARY_DEMOTED": "`confirmed` is false when the replaced primary does not answer.",
     "INSTANCE_WITHDRAWN": "Nobody had heard of it for seconds; it registers again when it returns.",
     "MEMBERS_SUSPENDED": "Stands in for an instance that did not confirm a claim.",
+    "HANDOVER_ENDED": (
+        "The successor leads, or the change was given up. `unconfirmed` answers are in doubt. With "
+        "`stalled`, the successor received no commits."
+    ),
+    "METRICS_UNAVAILABLE": "The address is in use or wrong; callers are served all the same.",
+    "STATEMENT_SLOW": "It was served, in `ms` against the route's `target_ms`.",
 }
