Ask again for reads whose answer was probably lost, without a budget

A read whose answer is late, although statements sent later to the member have been answered, is given up and asked again; the member has done its work, so this takes nothing from the budget. Its link closes after 0.1 s.

--- a/src/wigeonpoint/process/gateway/_exchange.py
+++ b/src/wigeonpoint/process/gateway/_exchange.py
@@ -124,7 +124,7 @@
         now = asyncio.get_running_loop().time()
         self._link.state = answer.state
         self._link.forget_prepared(answer)
-        self._pool.health.note_answer()
+        self._pool.note_answered(begun_at)
         self._pool.latency.record(now - begun_at)
         if self._link.state is TransactionState.FAILED:
             return
--- a/src/wigeonpoint/process/gateway/_executor.py
+++ b/src/wigeonpoint/process/gateway/_executor.py
@@ -39,6 +39,7 @@
 SHORTEST_WAIT_S = 0.001
 # After this an answer that nobody waits for is taken for lost, and its link is closed.
 ABANDONED_LIFE_S = 0.5
+OVERTAKEN_LIFE_S = 0.1  # the same, of one that later statements have overtaken
 ABANDONED_LATE_FACTOR = 4  # the same, as a multiple of the time after which an answer is late
 
 
@@ -258,11 +259,14 @@
         self._attempts: dict[asyncio.Task[MemberAnswer | NotRun], MemberPool] = {}
         self._last: Reply = refuse_statement(Refusal.OVERLOADED, "no member answered in time")
         self._pause = RETRY_PAUSE_S
+        self._sent_at: dict[asyncio.Task[MemberAnswer | NotRun], float] = {}
+        self._free_repeats = 0
 
     async def run(self) -> Reply:
         """Runs the read until a result, a refusal or the deadline."""
         try:
             while self._work.remaining_s > 0:
+                self._drop_lost()
                 started = await self._start_attempt()
                 if not self._attempts:
                     if not started and not await self._rest():
@@ -274,12 +278,13 @@
             return self._last
         finally:
             for task, pool in self._attempts.items():
-                self._executor.in_background(_abandon(task, pool))
+                life_s = abandoned_life_s(pool)
+                self._executor.in_background(_abandon(task, pool, life_s=life_s))
 
     async def _start_attempt(self) -> bool:
         if len(self._attempts) >= PARALLEL_READS:
             return False
-        if self._tried and not self._executor.budgets.of(self._work.route.name).take():
+        if self._tried and not self._may_repeat():
             return False
         work = self._work
         now = asyncio.get_running_loop().time()
@@ -298,6 +303,27 @@
         self._attempts[task] = pool
         return True
 
+    def _drop_lost(self) -> None:
+        """Gives up attempts that have most likely lost their answer.
+
+        The answer is late, and statements that were sent later have been answered. The member has
+        done its work, so that asking again takes nothing from the budget.
+        """
+        now = asyncio.get_running_loop().time()
+        for task, pool in list(self._attempts.items()):
+            sent_at = self._sent_at.get(task, now)
+            late_s = max(pool.latency.late_after_s, LATE_FLOOR_S)
+            if now - sent_at >= late_s and pool.overtaken(sent_at):
+                del self._attempts[task]
+                self._executor.in_background(_abandon(task, pool, life_s=OVERTAKEN_LIFE_S))
+                self._free_repeats += 1
+
+    def _may_repeat(self) -> bool:
+        if self._free_repeats:
+            self._free_repeats -= 1
+            return True
+        return self._executor.budgets.of(self._work.route.name).take()
+
     async def _attempt(
         self, pool: MemberPool, requirement: ReadRequirement
     ) -> MemberAnswer | NotRun:
@@ -309,6 +335,9 @@
         primary = pool.record.id == work.group.primary_id
         after = None if primary else requirement.position
         try:
+            task = asyncio.current_task()
+            if task is not None:
+                self._sent_at[task] = asyncio.get_running_loop().time()
             async with asyncio.timeout(max(work.remaining_s, 0) + abandoned_life_s(pool)):
                 answer = await exchange.run(after=after)
         except NotSent as refused:
@@ -328,8 +357,6 @@
     async def _wait(self) -> Reply | None:
         """Waits for an attempt to end, or until its answer is unusually late."""
         late = max(pool.latency.late_after_s for pool in self._attempts.values())
-        if len(self._attempts) >= PARALLEL_READS:
-            late = self._work.remaining_s
         wait = min(max(late, LATE_FLOOR_S), max(self._work.remaining_s, 0))
         done, _ = await asyncio.wait(
             self._attempts, timeout=wait, return_when=asyncio.FIRST_COMPLETED
@@ -366,9 +393,9 @@
     return max(ABANDONED_LIFE_S, ABANDONED_LATE_FACTOR * pool.latency.late_after_s)
 
 
-async def _abandon(task: asyncio.Task[Any], pool: MemberPool) -> None:
+async def _abandon(task: asyncio.Task[Any], pool: MemberPool, *, life_s: float) -> None:
     """Waits for an attempt that nobody needs any more, so that its link can be used again."""
-    done, _ = await asyncio.wait({task}, timeout=abandoned_life_s(pool))
+    done, _ = await asyncio.wait({task}, timeout=life_s)
     if not done:
         pool.note_late()
         task.cancel()
--- a/src/wigeonpoint/process/gateway/_member_pool.py
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -80,6 +80,7 @@
         self._hold_s = FIRST_HOLD_S
         self.health = MemberHealth()
         self.latency = LatencyEstimate()
+        self._newest_answered = float("-inf")
         self.opened = 0
         self.refused = 0
 
@@ -169,6 +170,19 @@
         if not self._opening and self.health.may_try and not self._closed:
             self._start_opening()
 
+    def note_answered(self, sent_at: float) -> None:
+        """Records that a statement was answered.
+
+        Args:
+            sent_at: Event-loop time, in seconds, at which it was sent.
+        """
+        self.health.note_answer()
+        self._newest_answered = max(self._newest_answered, sent_at)
+
+    def overtaken(self, sent_at: float) -> bool:
+        """Whether a statement that was sent later than this has been answered already."""
+        return self._newest_answered > sent_at
+
     def note_late(self) -> None:
         """Records an answer that is unusually late; without any other sign of life, probes."""
         answered_at = self.health.answered_at
--- a/tests/gateway/_members.py
+++ b/tests/gateway/_members.py
@@ -46,6 +46,7 @@
         lag_s: Seconds from receiving an entry to applying it.
         work_s: Seconds that a statement takes.
         lose_answers: Answers of the next statements to lose after running them.
+        lose_every: Loses each answer whose number this divides, 0 for none.
         refuse_busy: Next statements to refuse without running them.
         runs: Every statement that it ran: id, text, session values.
     """
@@ -62,6 +63,7 @@
     connections: int = 0
     peak_connections: int = 0
     lose_answers: int = 0
+    lose_every: int = 0
     refuse_busy: int = 0
     compares_numbers_only: bool = False
     running: bool = True
@@ -238,6 +240,8 @@
         if member.lose_answers > 0:
             member.lose_answers -= 1
             await asyncio.sleep(3600)
+        if member.lose_every and len(member.runs) % member.lose_every == 0:
+            await asyncio.sleep(3600)
         return await self._answer(**answer)
 
     async def begin(self, *, read_only: bool, after: LogPosition | None = None) -> MemberAnswer:
--- a/tests/gateway/test_outcomes.py
+++ b/tests/gateway/test_outcomes.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
-from tests.gateway._world import World
+from tests.gateway._world import Caller, World
 from wigeonpoint.request.session import Refusal
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -49,6 +51,23 @@
             assert result.served
             assert result.seconds < 0.2
 
+    async def test_reads_are_asked_again_while_many_answers_are_lost(self) -> None:
+        """Guards against reads that wait for their deadline because the retry budget is spent."""
+        async with World() as world:
+            world.member("chur").lose_every = 4
+            callers = [await world.caller("g-chur", "current") for _ in range(10)]
+            seconds: list[float] = []
+
+            async def read_all(caller: Caller) -> None:
+                for _ in range(60):
+                    result = await caller.query("READ a")
+                    assert result.served
+                    seconds.append(result.seconds)
+                    await asyncio.sleep(0.01)
+
+            await asyncio.gather(*(read_all(caller) for caller in callers))
+            assert max(seconds) < 0.4
+
     async def test_late_answer_never_reaches_another_statement(self) -> None:
         """Guards against a connection that is used again while an answer is outstanding."""
         async with World() as world:
