--- a/src/wigeonpoint/process/gateway/_session_service.py
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -18,10 +18,11 @@
     WrongMessage,
 )
 from wigeonpoint.events import Event, log_event
-from wigeonpoint.process.gateway._executor import StatementExecutor, Work
+from wigeonpoint.process.gateway._executor import StatementExecutor
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._metrics import StatementMetrics
 from wigeonpoint.process.gateway._transactions import TransactionRunner
+from wigeonpoint.process.gateway._work import Work
 from wigeonpoint.request import Access
 from wigeonpoint.request.session import (
     Refusal,
--- a/src/wigeonpoint/process/gateway/_transactions.py
+++ b/src/wigeonpoint/process/gateway/_transactions.py
@@ -16,10 +16,11 @@
 from wigeonpoint.errors import NotRun
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._exchange import Exchange, NotSent
-from wigeonpoint.process.gateway._executor import RETRY_PAUSE_S, StatementExecutor, Work
+from wigeonpoint.process.gateway._executor import StatementExecutor
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway._refusals import reply_for_answer, reply_for_error
+from wigeonpoint.process.gateway._work import RETRY_PAUSE_S, Work
 from wigeonpoint.request.session import (
     Refusal,
     Reply,
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/_work.py
@@ -0,0 +1,48 @@
+"""A statement with what its execution needs."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from wigeonpoint.backend import LogPosition
+from wigeonpoint.connection.session import CallerSession
+from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.request.session import SessionStatement
+from wigeonpoint.version.catalogue import DatabaseRoute
+
+RETRY_PAUSE_S = 0.005  # before the first repeat; doubled before each further one
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """A statement with what its execution needs.
+
+    Attributes:
+        session: The caller's session.
+        route: The route that it runs under.
+        group: The route's database group.
+        statement: The statement.
+        deadline: Event-loop time, in seconds, until which its answer is of use.
+    """
+
+    session: CallerSession
+    route: DatabaseRoute
+    group: Group
+    statement: SessionStatement
+    deadline: float
+
+    @property
+    def remaining_s(self) -> float:
+        """Seconds until the deadline."""
+        return self.deadline - asyncio.get_running_loop().time()
+
+    @property
+    def committed(self) -> LogPosition | None:
+        """Position of the session's last commit in the group, or None."""
+        return self.session.committed.get(self.group.name)
+
+    def note_commit(self, position: LogPosition | None) -> None:
+        """Records the position of a commit of the session."""
+        if position is not None:
+            self.session.committed[self.group.name] = position
