--- a/src/wigeonpoint/cli/_gateway.py
+++ b/src/wigeonpoint/cli/_gateway.py
@@ -87,6 +87,10 @@
     await stopping.wait()
     await process.drain()
     process.stop()
+    # Nothing is left to save. Cancelling what still runs and ending the interpreter can outlast
+    # the grace period on a slow machine, and would end in a kill.
+    sys.stdout.flush()
+    os._exit(0)
 
 
 def _serve_metrics(process: Gateway, address: tuple[str, int]) -> None:
