--- a/src/wigeonpoint/process/gateway/_member_pool.py
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -18,23 +18,14 @@
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process._schedule import QueueEntry, RankedSchedule
+from wigeonpoint.process.gateway._connection_allowance import ConnectionAllowance
 from wigeonpoint.request import Rank
 from wigeonpoint.request.session import TransactionState
 from wigeonpoint.version.catalogue import MemberRecord
 
 CONNECT_TIMEOUT_S = 0.6  # a member accepts when it has a slot free
-FIRST_LIMIT_PAUSE_S = 0.05  # before the member's connection limit is tried again
-LONGEST_LIMIT_PAUSE_S = 0.4
-# A member keeps the connections of an instance that lost power for seconds. What this share leaves
-# free lets the instance return before they are dropped.
-SHARE_OF_LIMIT = 0.6
-# For this long after the start, half of the share must do: connections of the former process count.
-STARTING_S = 1.2
 PROVEN_ALIVE_S = 0.1  # an answer this young makes a late one no sign of a fault
 SILENT_LINK_S = 0.2  # a statement unanswered for this long at an unreachable member is given up
-# Of the limit, for work that waits. Open connections beyond what the slots need only wait at the
-# member, and after a loss of power they keep the instances from returning.
-BORROWED_SHARE = 1 / 16
 OVERDUE_FLOOR_S = 0.1  # an answer that takes longer than this, and than usual, is overdue
 SPARE_LIFE_S = 0.5  # idle links above this instance's share are closed after this time
 MIN_RETRY_MS = 20
@@ -65,17 +56,13 @@
     ) -> None:
         self._record = record
         self._connector = connector
-        self._share = share
-        self._limit = limit
+        self._allowance = ConnectionAllowance(share=share, limit=limit)
         self._idle: deque[MemberLink] = deque()
         self._in_use: set[MemberLink] = set()
         self._opening: set[asyncio.Task[None]] = set()
         self._schedule = RankedSchedule()
         self._waiting: dict[asyncio.Future[None], QueueEntry] = {}
         self._granted: dict[asyncio.Future[None], MemberLink] = {}
-        self._limit_pause_s = FIRST_LIMIT_PAUSE_S
-        self._open_after = 0.0
-        self._started_at = asyncio.get_running_loop().time()
         self._closed = False
         self._hold_s = FIRST_HOLD_S
         self.health = MemberHealth()
@@ -161,7 +148,11 @@
 
     def warm(self, links: int) -> None:
         """Opens links ahead of the first statements."""
-        wanted = min(links, self._most()) - self.open - len(self._opening)
+        wanted = (
+            min(links, self._allowance.most(waiting=bool(self._schedule)))
+            - self.open
+            - len(self._opening)
+        )
         for _ in range(max(wanted, 0)):
             self._start_opening()
 
@@ -193,7 +184,7 @@
     def close_spare(self) -> None:
         """Closes idle links above the share that have not been used for a while."""
         now = asyncio.get_running_loop().time()
-        while self.open > self._own_share() and self._idle:
+        while self.open > self._allowance.own and self._idle:
             if now - self._idle[0].idle_since < SPARE_LIFE_S:
                 return
             self._idle.popleft().close()
@@ -236,8 +227,8 @@
             return
         if not self.health.available and not self.health.may_try:
             raise self._unreachable()
-        if now < self._open_after:
-            raise self._late(self._open_after - now)
+        if self._allowance.paused_s:
+            raise self._late(self._allowance.paused_s)
 
     async def _wait(self, rank: Rank, caller: str, deadline: float) -> MemberLink:
         loop = asyncio.get_running_loop()
@@ -271,12 +262,6 @@
             entry.granted.set_result(None)
         self._open_for_waiting()
 
-    def _most(self) -> int:
-        if asyncio.get_running_loop().time() - self._started_at < STARTING_S:
-            return max(self._own_share() // 2, 1)
-        borrowed = max(int(self._limit() * BORROWED_SHARE), 1) if self._schedule else 0
-        return max(min(self._own_share() + borrowed, self._limit()), 1)
-
     def _overdue(self) -> int:
         """Links whose answer is probably lost; work that waits must not wait for them too."""
         overdue_s = max(self.latency.late_after_s, OVERDUE_FLOOR_S)
@@ -287,9 +272,6 @@
             if link.waiting_since is not None and link.waiting_since < sent_before
         )
 
-    def _own_share(self) -> int:
-        return max(int(self._share() * SHARE_OF_LIMIT), 1)
-
     def _open_for_waiting(self) -> None:
         if self._closed:
             return
@@ -299,11 +281,12 @@
     def _may_open(self) -> bool:
         if not self.health.available and (self._opening or not self.health.may_try):
             return False
-        if asyncio.get_running_loop().time() < self._open_after:
+        if self._allowance.paused_s:
             return False
-        if self._opening and self._limit_pause_s > FIRST_LIMIT_PAUSE_S:
+        if self._opening and self._allowance.refused_lately:
             return False  # after a refusal, one attempt tells whether there is room again
-        return self.open + len(self._opening) - self._overdue() < self._most()
+        most = self._allowance.most(waiting=bool(self._schedule))
+        return self.open + len(self._opening) - self._overdue() < most
 
     def _start_opening(self) -> None:
         task = asyncio.create_task(self._open())
@@ -328,7 +311,7 @@
         if not self.health.available:
             log_event(Event.MEMBER_REACHABLE, member=self._record.id)
         self.health.note_answer()
-        self._limit_pause_s = FIRST_LIMIT_PAUSE_S
+        self._allowance.note_accepted()
         self.opened += 1
         link = MemberLink(connection, self._record)
         link.idle_since = asyncio.get_running_loop().time()
@@ -354,13 +337,11 @@
 
     def _note_refusal(self, fault: MemberFault) -> None:
         self.refused += 1
-        now = asyncio.get_running_loop().time()
         if fault is MemberFault.TOO_MANY_CONNECTIONS:
-            self._open_after = now + self._limit_pause_s
-            self._limit_pause_s = min(2 * self._limit_pause_s, LONGEST_LIMIT_PAUSE_S)
+            self._allowance.note_refused()
             self.health.note_answer()
             if not self.open:
-                self._refuse_waiting(self._late(self._open_after - now))
+                self._refuse_waiting(self._late(self._allowance.paused_s))
             return
         log_event(Event.MEMBER_REFUSED, member=self._record.id, fault=fault.name.lower())
         self.health.note_unreachable()
