--- a/src/wigeonpoint/process/gateway/_connection_allowance.py
+++ b/src/wigeonpoint/process/gateway/_connection_allowance.py
@@ -1,7 +1,7 @@
 """How many connections to a member this instance may open, and when.
 
-Answers members whose connection limit is shared by all instances: each keeps to a share, leaves room
-for instances that return after a loss of power, and stays away for a while after a refusal.
+Answers members whose connection limit is shared by all instances: each keeps to a share, leaves
+room for instances that return after a loss of power, and stays away for a while after a refusal.
 """
 
 from __future__ import annotations
