--- a/src/wigeonpoint/process/_instance.py
+++ b/src/wigeonpoint/process/_instance.py
@@ -27,7 +27,8 @@
     UnknownPathHandler,
 )
 from wigeonpoint.process._core import InstanceCore
-from wigeonpoint.process._metrics import InstanceMetrics, MetricsHandler
+from wigeonpoint.process._metrics import InstanceMetrics
+from wigeonpoint.process._metrics_handler import MetricsHandler
 from wigeonpoint.process._settings import Settings
 from wigeonpoint.services import Platform
 from wigeonpoint.version import InstanceRecord
--- a/src/wigeonpoint/process/_metrics.py
+++ b/src/wigeonpoint/process/_metrics.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from aioprometheus import Gauge, Registry, render
-from tornado.web import RequestHandler
 
 from wigeonpoint.process._core import InstanceCore
 from wigeonpoint.request import Rank
@@ -116,18 +115,3 @@
 
 def _values(part: object, *names: str) -> dict[str, int]:
     return {name: getattr(part, name) for name in names}
-
-
-class MetricsHandler(RequestHandler):
-    """`GET /metrics`."""
-
-    def initialize(self, metrics: InstanceMetrics) -> None:
-        """Takes the metrics."""
-        self._metrics = metrics
-
-    def get(self) -> None:
-        """Answers a scrape."""
-        body, headers = self._metrics.render(self.request.headers.get_list("Accept"))
-        for name, value in headers.items():
-            self.set_header(name, value)
-        self.finish(body)
--- a/src/wigeonpoint/process/gateway/_metrics.py
+++ b/src/wigeonpoint/process/gateway/_metrics.py
@@ -6,8 +6,9 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
+from tornado.web import Application
 
+from wigeonpoint.process._metrics_handler import MetricsHandler
 from wigeonpoint.request.session import Refusal
 from wigeonpoint.version.catalogue import DatabaseRoute
 
@@ -141,24 +142,9 @@
         OSError: The address cannot be used.
     """
     application = Application(
-        [(METRICS_PATH, _MetricsHandler, {"metrics": metrics})],
+        [(METRICS_PATH, MetricsHandler, {"metrics": metrics})],
         log_function=lambda handler: None,
     )
     server = HTTPServer(application)
     server.listen(port, host)
     return server
-
-
-class _MetricsHandler(RequestHandler):
-    """`GET /metrics`."""
-
-    def initialize(self, metrics: GatewayMetrics) -> None:
-        """Takes the metrics."""
-        self._metrics = metrics
-
-    def get(self) -> None:
-        """Answers a scrape."""
-        body, headers = self._metrics.render(self.request.headers.get_list("Accept"))
-        for name, value in headers.items():
-            self.set_header(name, value)
-        self.finish(body)
