--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -96,7 +96,7 @@
         self._intervals: dict[str, float] = {}
         self._hurry = asyncio.Event()
         self._late: set[str] = set()  # addresses whose last ping is or was not answered in time
-        self._watch_key: tuple[int, int, str | None] | None = None
+        self._watch_key: tuple[frozenset[str], str | None] | None = None
         self._watched: frozenset[str] = frozenset()
         self._states: dict[str, tuple[float, GatewayState]] = {}
         self._behind: dict[tuple[str, str], int] = {}
@@ -124,8 +124,9 @@
         duty = self._control.records.duty()
         holder = duty.holder if duty else None
         instances = self._control.instances
-        if self._watch_key != (id(instances), len(instances), holder):
-            self._watch_key = (id(instances), len(instances), holder)
+        key = (frozenset(instances), holder)
+        if self._watch_key != key:
+            self._watch_key = key
             self._watched = watched_peers(self._control.name, instances, holder=holder)
         return self._watched
 
