--- a/tests/gateway/_world.py
+++ b/tests/gateway/_world.py
@@ -260,3 +260,20 @@
             key = next((k for k in self.store.rows if k.key == record.id), None)
             if member.running and (key is None or self.store.rows[key].value != value):
                 self.store.put(NAMES.members, record.id, value)
+
+
+def acknowledged(world: World, values: list[str]) -> None:
+    """Checks that each acknowledged value is in the leader's log exactly once."""
+    log = [entry.value for entry in world.group.leader().log]
+    assert [value for value in log if value in values] == values
+
+
+async def write_values(caller: Caller, count: int) -> list[str]:
+    """Writes distinct values."""
+    values = []
+    for number in range(count):
+        value = f"v{number}"
+        assert (await caller.query(f"WRITE a {value}")).served
+        values.append(value)
+    await asyncio.sleep(0.05)
+    return values
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -1,4 +1,4 @@
-"""Changes of primary: planned, after a crash, behind a cut, and without the store."""
+"""Changes of primary after a crash, behind a cut, and without the store."""
 
 from __future__ import annotations
 
@@ -6,23 +6,14 @@
 from contextlib import suppress
 
 import pytest
-from hypothesis import given
-from hypothesis import strategies as st
 
 from tests.gateway._members import Entry
-from tests.gateway._world import GRACE_S, SERVICE, Caller, World
-from wigeonpoint.backend import LogPosition, MemberRole
-from wigeonpoint.connection.session import CallerGone, MemberReport
-from wigeonpoint.errors import ConditionFailed
+from tests.gateway._world import SERVICE, World, acknowledged, write_values
+from wigeonpoint.backend import LogPosition
+from wigeonpoint.connection.session import CallerGone
 from wigeonpoint.process.gateway.control import (
-    CONTROL_TABLE,
     EVIDENCE_LIFE_S,
-    blocks_evidence,
-    vouched,
 )
-from wigeonpoint.request.session import Refusal
-from wigeonpoint.services import RowKey, RowTransaction
-from wigeonpoint.version.catalogue import MemberRecord
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
@@ -31,23 +22,6 @@
 UNCONFIRMED_GAP_S = 0.3 + 0.7 + EVIDENCE_LIFE_S
 
 
-def acknowledged(world: World, values: list[str]) -> None:
-    """Checks that each acknowledged value is in the leader's log exactly once."""
-    log = [entry.value for entry in world.group.leader().log]
-    assert [value for value in log if value in values] == values
-
-
-async def write_values(caller: Caller, count: int) -> list[str]:
-    """Writes distinct values."""
-    values = []
-    for number in range(count):
-        value = f"v{number}"
-        assert (await caller.query(f"WRITE a {value}")).served
-        values.append(value)
-    await asyncio.sleep(0.05)
-    return values
-
-
 class TestCrash:
     """A primary that ends without a word."""
 
@@ -126,105 +100,6 @@
             assert world.group.commits_after_replacement == []
 
 
-class TestPlanned:
-    """A primary that announces its end."""
-
-    async def test_no_acknowledged_write_is_lost_and_none_commits_late(self) -> None:
-        """Guards against writes at a primary that has already been replaced."""
-        async with World() as world:
-            callers = [await world.caller(f"g-{dc}", "current") for dc in ("chur", "sargans")]
-            served: list[str] = []
-
-            async def write_all(caller: Caller, name: str) -> None:
-                for number in range(60):
-                    value = f"{name}{number}"
-                    if (await caller.query(f"WRITE a {value}", statement_id=value)).served:
-                        served.append(value)
-                    await asyncio.sleep(0.03)
-
-            writers = [
-                asyncio.create_task(write_all(caller, name))
-                for caller, name in zip(callers, "xy", strict=True)
-            ]
-            await asyncio.sleep(0.3)
-            world.leave(world.member("chur"))
-            await asyncio.gather(*writers)
-            log = [entry.value for entry in world.group.leader().log]
-            assert world.group.leader().record.id != "m-chur"
-            assert sorted(log) == sorted(set(log))
-            assert set(served) <= set(log)
-            assert not set(world.group.commits_after_replacement) & set(served)
-
-    async def test_writes_and_reads_go_on_while_the_successor_is_promoted(self) -> None:
-        """Guards against a group that refuses everything while the platform promotes a member."""
-        async with World() as world:
-            world.group.promote_s = 1.0
-            callers = [await world.caller(f"g-{dc}", "current") for dc in ("chur", "sargans")]
-            outcomes: list[Refusal | None] = []
-
-            async def use(caller: Caller, name: str) -> None:
-                for number in range(80):
-                    text = "READ a" if number % 2 else f"WRITE a {name}{number}"
-                    outcomes.append((await caller.query(text)).reply.refusal)
-                    await asyncio.sleep(0.02)
-
-            users = [
-                asyncio.create_task(use(caller, name))
-                for caller, name in zip(callers, "xy", strict=True)
-            ]
-            await asyncio.sleep(0.2)
-            world.leave(world.member("chur"))
-            await asyncio.gather(*users)
-            assert world.group.leader().record.id != "m-chur"
-            assert outcomes.count(None) >= len(outcomes) - len(callers)
-            # What is at the leaving primary in the very moment of the promotion is not known.
-            assert set(outcomes) <= {None, Refusal.IN_DOUBT}
-
-    async def test_successor_that_receives_nothing_confirms_no_commit(self) -> None:
-        """Guards against acknowledged writes that a promotion cuts back."""
-        async with World() as world:
-            world.group.promote_s = 1.0
-            caller = await world.caller("g-sargans", "current")
-            values = await write_values(caller, 3)
-            world.leave(world.member("chur"))
-            while not world.calls:
-                await asyncio.sleep(0.01)
-            for other in ("stgallen", "sargans"):
-                world.network.cut("chur", other)  # the primary's log goes nowhere any more
-            inside = await world.caller("g-chur", "current")
-            served = []
-            for number in range(20):
-                if (await inside.query(f"WRITE a late{number}")).served:
-                    served.append(f"late{number}")
-                await asyncio.sleep(0.05)
-            await asyncio.sleep(1.0)
-            acknowledged(world, values + served)
-
-    async def test_writes_go_on_while_an_instance_restarts(self) -> None:
-        """Guards against a planned change that stops its group because an instance is away."""
-        async with World() as world:
-            caller = await world.caller("g-sargans", "current")
-            world.kill("g-stgallen")
-            await asyncio.sleep(0.5)
-            world.leave(world.member("chur"))
-            refused = 0
-            for number in range(60):
-                if number == 40:
-                    world.start("g-stgallen", "stgallen")
-                refused += not (await caller.query(f"WRITE a {number}")).served
-                await asyncio.sleep(0.05)
-            await asyncio.sleep(1.0)
-            assert world.group.leader().record.id != "m-chur"
-            assert refused <= 1
-
-    async def test_leaving_replica_changes_nothing(self) -> None:
-        """Guards against a promotion that nobody needs."""
-        async with World() as world:
-            world.leave(world.member("sargans"))
-            await asyncio.sleep(2.0)
-            assert world.calls == []
-
-
 class TestCut:
     """A data centre that is cut off with the primary in it."""
 
@@ -461,145 +336,3 @@
                 await asyncio.sleep(0.05)
                 names.add(frozenset(world.nodes["g-sargans"].gateway.control.instances))
             assert all({"g-stgallen", "g-sargans"} <= seen for seen in names)
-
-
-class TestMemberEvidence:
-    """What members vouch for."""
-
-    @staticmethod
-    def report(role: MemberRole, term: int, held_term: int = 0) -> MemberReport:
-        """What a member says of itself."""
-        return MemberReport(role, term, LogPosition(term, 5), held_term, 0.0, 0, 3)
-
-    def test_primary_and_a_replica_of_its_term_suffice(self) -> None:
-        """Guards against evidence that needs every member."""
-        reports = {
-            "a": self.report(MemberRole.PRIMARY, 2),
-            "b": self.report(MemberRole.REPLICA, 2),
-        }
-        assert vouched("a", reports, ["a", "b", "c"])
-
-    def test_replicas_of_a_later_term_vouch_for_nothing(self) -> None:
-        """Guards against a replaced primary whose former replicas follow another one already."""
-        reports = {
-            "a": self.report(MemberRole.PRIMARY, 2),
-            "b": self.report(MemberRole.REPLICA, 3),
-            "c": self.report(MemberRole.REPLICA, 2, held_term=3),
-        }
-        assert not vouched("a", reports, ["a", "b", "c"])
-
-    def test_member_that_follows_is_no_primary(self) -> None:
-        """Guards against evidence for a member that has stopped leading."""
-        reports = {name: self.report(MemberRole.REPLICA, 2) for name in "abc"}
-        assert not vouched("a", reports, list(reports))
-
-
-class TestBlockedEvidence:
-    """Members that obey a new term against those that could vouch for the old primary."""
-
-    @staticmethod
-    def member(name: str, *, born_ms: int = 0, leaving: bool = False) -> MemberRecord:
-        """A member."""
-        return MemberRecord(name, SERVICE, "m:1", "chur", leaving=leaving, born_ms=born_ms)
-
-    def test_both_replicas_of_three_members_suffice(self) -> None:
-        """Guards against a change of primary that needs the lost primary itself."""
-        members = [self.member(name) for name in "abc"]
-        assert blocks_evidence({"b", "c"}, members)
-        assert not blocks_evidence({"b"}, members)
-
-    def test_members_outside_a_cut_suffice_while_one_inside_is_replaced(self) -> None:
-        """Guards against a group that waits for a cut to end because it has four members."""
-        members = [
-            self.member("a", leaving=True),
-            self.member("b"),
-            self.member("c"),
-            self.member("d", born_ms=9),
-        ]
-        assert blocks_evidence({"b", "c"}, members)
-
-    def test_instances_that_do_not_know_the_new_member_count_without_it(self) -> None:
-        """Guards against the old member and a replica that vouch, unknown to the claimant."""
-        members = [
-            self.member("a", leaving=True),
-            self.member("b"),
-            self.member("c"),
-            self.member("d", born_ms=9),
-        ]
-        assert not blocks_evidence({"c", "d"}, members)
-
-    @given(
-        obeying=st.sets(st.sampled_from("abcde")),
-        leaving=st.sets(st.sampled_from("abc"), max_size=1),
-        size=st.integers(min_value=1, max_value=5),
-    )
-    def test_no_majority_is_left_in_any_view(
-        self, obeying: set[str], leaving: set[str], size: int
-    ) -> None:
-        """Guards against two sets of members that vouch and obey without one in common."""
-        names = "abcde"[:size]
-        members = [
-            self.member(name, born_ms=number, leaving=name in leaving)
-            for number, name in enumerate(names)
-        ]
-        if not blocks_evidence(obeying, members):
-            return
-        before = names[: size - len(leaving & set(names))]
-        for view in (set(names), set(names) - leaving, set(before)):
-            assert 2 * len(view - obeying) <= len(view)
-
-
-class TestShutdown:
-    """Graceful shutdown of a gateway."""
-
-    async def test_statements_are_served_until_the_balancer_has_noticed(self) -> None:
-        """Guards against requests that are cut off by planned work."""
-        async with World() as world:
-            gateway = world.nodes["g-chur"].gateway
-            caller = await world.caller("g-chur", "current")
-            draining = asyncio.create_task(gateway.drain())
-            await asyncio.sleep(0.05)
-            assert not gateway.ready
-            for number in range(20):
-                assert (await caller.query(f"WRITE a {number}")).served
-                await asyncio.sleep(0.1)
-            await draining
-            await asyncio.sleep(0.2)
-            assert caller.closed
-            assert "g-chur" not in world.nodes["g-sargans"].gateway.control.instances
-
-    async def test_open_transaction_has_half_of_the_grace_period(self) -> None:
-        """Guards against transactions that are cut off at once, or that outlast the process."""
-        async with World() as world:
-            gateway = world.nodes["g-chur"].gateway
-            caller = await world.caller("g-chur", "current")
-            await caller.query("BEGIN")
-            await caller.query("WRITE a 1")
-            draining = asyncio.create_task(gateway.drain())
-            await asyncio.sleep(1.5)
-            assert (await caller.query("COMMIT")).served
-            await draining
-
-    async def test_silent_store_does_not_outlast_the_grace_period(self) -> None:
-        """Guards against a process that is killed while it waits to withdraw its registration."""
-        async with World() as world:
-            gateway = world.nodes["g-chur"].gateway
-            world.store.down, world.store.silent_s = True, 60.0
-            caller = await world.caller("g-chur", "current")
-            await caller.query("BEGIN READ")
-            began = asyncio.get_running_loop().time()
-            await gateway.drain()
-            assert asyncio.get_running_loop().time() - began < GRACE_S
-
-    async def test_late_withdrawal_leaves_the_next_process_registered(self) -> None:
-        """Guards against a restarted instance for which claimants do not wait."""
-        async with World() as world:
-            late = world.nodes["g-chur"].gateway.control
-            version = late.records.version("instance/g-chur")
-            world.kill("g-chur")
-            control = world.start("g-chur", "chur").control
-            await asyncio.sleep(0.5)
-            key = RowKey(CONTROL_TABLE, "instance/g-chur")
-            with pytest.raises(ConditionFailed):
-                world.store.commit(RowTransaction({key: version}, deletes=[key]))
-            assert control.registered
--- /dev/null
+++ b/tests/gateway/test_member_evidence.py
@@ -0,0 +1,104 @@
+"""Evidence from members, and what outweighs it."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.gateway._world import SERVICE
+from wigeonpoint.backend import LogPosition, MemberRole
+from wigeonpoint.connection.session import MemberReport
+from wigeonpoint.process.gateway.control import (
+    blocks_evidence,
+    vouched,
+)
+from wigeonpoint.version.catalogue import MemberRecord
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+
+class TestMemberEvidence:
+    """What members vouch for."""
+
+    @staticmethod
+    def report(role: MemberRole, term: int, held_term: int = 0) -> MemberReport:
+        """What a member says of itself."""
+        return MemberReport(role, term, LogPosition(term, 5), held_term, 0.0, 0, 3)
+
+    def test_primary_and_a_replica_of_its_term_suffice(self) -> None:
+        """Guards against evidence that needs every member."""
+        reports = {
+            "a": self.report(MemberRole.PRIMARY, 2),
+            "b": self.report(MemberRole.REPLICA, 2),
+        }
+        assert vouched("a", reports, ["a", "b", "c"])
+
+    def test_replicas_of_a_later_term_vouch_for_nothing(self) -> None:
+        """Guards against a replaced primary whose former replicas follow another one already."""
+        reports = {
+            "a": self.report(MemberRole.PRIMARY, 2),
+            "b": self.report(MemberRole.REPLICA, 3),
+            "c": self.report(MemberRole.REPLICA, 2, held_term=3),
+        }
+        assert not vouched("a", reports, ["a", "b", "c"])
+
+    def test_member_that_follows_is_no_primary(self) -> None:
+        """Guards against evidence for a member that has stopped leading."""
+        reports = {name: self.report(MemberRole.REPLICA, 2) for name in "abc"}
+        assert not vouched("a", reports, list(reports))
+
+
+class TestBlockedEvidence:
+    """Members that obey a new term against those that could vouch for the old primary."""
+
+    @staticmethod
+    def member(name: str, *, born_ms: int = 0, leaving: bool = False) -> MemberRecord:
+        """A member."""
+        return MemberRecord(name, SERVICE, "m:1", "chur", leaving=leaving, born_ms=born_ms)
+
+    def test_both_replicas_of_three_members_suffice(self) -> None:
+        """Guards against a change of primary that needs the lost primary itself."""
+        members = [self.member(name) for name in "abc"]
+        assert blocks_evidence({"b", "c"}, members)
+        assert not blocks_evidence({"b"}, members)
+
+    def test_members_outside_a_cut_suffice_while_one_inside_is_replaced(self) -> None:
+        """Guards against a group that waits for a cut to end because it has four members."""
+        members = [
+            self.member("a", leaving=True),
+            self.member("b"),
+            self.member("c"),
+            self.member("d", born_ms=9),
+        ]
+        assert blocks_evidence({"b", "c"}, members)
+
+    def test_instances_that_do_not_know_the_new_member_count_without_it(self) -> None:
+        """Guards against the old member and a replica that vouch, unknown to the claimant."""
+        members = [
+            self.member("a", leaving=True),
+            self.member("b"),
+            self.member("c"),
+            self.member("d", born_ms=9),
+        ]
+        assert not blocks_evidence({"c", "d"}, members)
+
+    @given(
+        obeying=st.sets(st.sampled_from("abcde")),
+        leaving=st.sets(st.sampled_from("abc"), max_size=1),
+        size=st.integers(min_value=1, max_value=5),
+    )
+    def test_no_majority_is_left_in_any_view(
+        self, obeying: set[str], leaving: set[str], size: int
+    ) -> None:
+        """Guards against two sets of members that vouch and obey without one in common."""
+        names = "abcde"[:size]
+        members = [
+            self.member(name, born_ms=number, leaving=name in leaving)
+            for number, name in enumerate(names)
+        ]
+        if not blocks_evidence(obeying, members):
+            return
+        before = names[: size - len(leaving & set(names))]
+        for view in (set(names), set(names) - leaving, set(before)):
+            assert 2 * len(view - obeying) <= len(view)
--- /dev/null
+++ b/tests/gateway/test_shutdown.py
@@ -0,0 +1,72 @@
+"""Graceful shutdown of a gateway."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.gateway._world import GRACE_S, World
+from wigeonpoint.errors import ConditionFailed
+from wigeonpoint.process.gateway.control import (
+    CONTROL_TABLE,
+)
+from wigeonpoint.services import RowKey, RowTransaction
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+
+class TestShutdown:
+    """Graceful shutdown of a gateway."""
+
+    async def test_statements_are_served_until_the_balancer_has_noticed(self) -> None:
+        """Guards against requests that are cut off by planned work."""
+        async with World() as world:
+            gateway = world.nodes["g-chur"].gateway
+            caller = await world.caller("g-chur", "current")
+            draining = asyncio.create_task(gateway.drain())
+            await asyncio.sleep(0.05)
+            assert not gateway.ready
+            for number in range(20):
+                assert (await caller.query(f"WRITE a {number}")).served
+                await asyncio.sleep(0.1)
+            await draining
+            await asyncio.sleep(0.2)
+            assert caller.closed
+            assert "g-chur" not in world.nodes["g-sargans"].gateway.control.instances
+
+    async def test_open_transaction_has_half_of_the_grace_period(self) -> None:
+        """Guards against transactions that are cut off at once, or that outlast the process."""
+        async with World() as world:
+            gateway = world.nodes["g-chur"].gateway
+            caller = await world.caller("g-chur", "current")
+            await caller.query("BEGIN")
+            await caller.query("WRITE a 1")
+            draining = asyncio.create_task(gateway.drain())
+            await asyncio.sleep(1.5)
+            assert (await caller.query("COMMIT")).served
+            await draining
+
+    async def test_silent_store_does_not_outlast_the_grace_period(self) -> None:
+        """Guards against a process that is killed while it waits to withdraw its registration."""
+        async with World() as world:
+            gateway = world.nodes["g-chur"].gateway
+            world.store.down, world.store.silent_s = True, 60.0
+            caller = await world.caller("g-chur", "current")
+            await caller.query("BEGIN READ")
+            began = asyncio.get_running_loop().time()
+            await gateway.drain()
+            assert asyncio.get_running_loop().time() - began < GRACE_S
+
+    async def test_late_withdrawal_leaves_the_next_process_registered(self) -> None:
+        """Guards against a restarted instance for which claimants do not wait."""
+        async with World() as world:
+            late = world.nodes["g-chur"].gateway.control
+            version = late.records.version("instance/g-chur")
+            world.kill("g-chur")
+            control = world.start("g-chur", "chur").control
+            await asyncio.sleep(0.5)
+            key = RowKey(CONTROL_TABLE, "instance/g-chur")
+            with pytest.raises(ConditionFailed):
+                world.store.commit(RowTransaction({key: version}, deletes=[key]))
+            assert control.registered
