--- a/src/wigeonpoint/process/gateway/control/_member_evidence.py
+++ b/src/wigeonpoint/process/gateway/control/_member_evidence.py
@@ -1,10 +1,10 @@
 """Evidence from the members of a group that no other primary has been promoted.
 
 Answers outages of the store while an instance is missing, when neither the store nor the peers can
-rule out a claim. A claimant that some instance has not confirmed promotes only after a majority of
-the group's members has confirmed its term, and the life of evidence has passed since. An instance
-that hears from a majority of the members that they hold no later term than the primary's knows that
-no such majority existed when it asked.
+rule out a claim. A claimant that some instance has not confirmed promotes only after so many of
+the group's members obey its term that the others make no majority, and the life of evidence has
+passed since. An instance that hears from a majority of the members that they hold no later term
+than the primary's knows that this was not so when it asked.
 """
 
 from __future__ import annotations
