Share members among more instances than they take connections through relays

A transaction stays with the relay that began it; a statement moves to another relay only if the first one has not run it. Connections are opened ahead of demand only once the fleet has registered.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -33,6 +33,8 @@
     LEASE_LOST = (305, logging.WARNING, "no valid lease: primaries may not be used")
     LEASE_REGAINED = (306, logging.INFO, "lease is valid: primaries may be used")
     INSTANCE_DEREGISTERED = (307, logging.WARNING, "unreachable instance deregistered")
+    RELAY_UNAVAILABLE = (308, logging.INFO, "a relay does not answer or refuses; using others")
+    RELAY_MESSAGE_LOST = (309, logging.INFO, "a relay was not told that a transaction has ended")
     DIRECTORY_AVAILABLE = (302, logging.INFO, "the platform's list can be read again")
 
     CONFIGURATION_APPLIED = (200, logging.INFO, "new configuration state is active")
--- a/src/wigeonpoint/connection/session/__init__.py
+++ b/src/wigeonpoint/connection/session/__init__.py
@@ -20,6 +20,7 @@
     MemberReport,
     MemberUnreachable,
     OpenSession,
+    RequestTerms,
 )
 from wigeonpoint.connection.session._session import CallerSession, SessionTransaction
 
@@ -42,5 +43,6 @@
     "MemberUnreachable",
     "OpenSession",
     "PooledConnection",
+    "RequestTerms",
     "SessionTransaction",
 ]
--- a/src/wigeonpoint/connection/session/_protocols.py
+++ b/src/wigeonpoint/connection/session/_protocols.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from wigeonpoint.backend import LogPosition, MemberRole
+from wigeonpoint.request import Rank
 from wigeonpoint.request.session import (
     PreparedStatement,
     Reply,
@@ -101,6 +102,23 @@
         return max(self.term, self.held_term)
 
 
+@dataclass(frozen=True, slots=True)
+class RequestTerms:
+    """On whose behalf a statement runs, and how long its caller waits.
+
+    Attributes:
+        rank: Urgency.
+        caller: Key for fair queueing within the rank.
+        deadline: Event-loop time, in seconds, until which the caller waits.
+        session: Number of the caller's session.
+    """
+
+    rank: Rank
+    caller: str
+    deadline: float
+    session: int
+
+
 class MemberUnreachable(Exception):
     """No connection to the member could be made; nothing was sent."""
 
@@ -129,6 +147,15 @@
         """Whether it can carry no further statement."""
         ...
 
+    @property
+    def verified(self) -> bool:
+        """Whether the member was reached when the connection was opened."""
+        ...
+
+    def assign(self, terms: RequestTerms) -> None:
+        """Tells on whose behalf the next statements run, for a connection that queues them."""
+        ...
+
     async def run(
         self,
         statement: SessionStatement,
@@ -145,6 +172,7 @@
 
         Raises:
             MemberConnectionLost: The answer is incomplete or missing.
+            NotRun: The statement was refused before it reached the member.
         """
         ...
 
@@ -192,12 +220,16 @@
 class MemberConnector(Protocol):
     """Opens connections to members."""
 
-    async def connect(self, record: MemberRecord, *, timeout: float) -> MemberConnection:
+    async def connect(
+        self, record: MemberRecord, *, timeout: float, verify: bool = True
+    ) -> MemberConnection:
         """Opens a connection and tells the member which one is expected at the address.
 
         Args:
             record: The member.
             timeout: Seconds to wait for the member to accept.
+            verify: Whether the member must be contacted now, even if its first statement could do
+                that as well.
 
         Raises:
             MemberUnreachable: No connection could be made in time.
--- a/src/wigeonpoint/platform/_members.py
+++ b/src/wigeonpoint/platform/_members.py
@@ -14,6 +14,7 @@
     MemberRefused,
     MemberReport,
     MemberUnreachable,
+    RequestTerms,
 )
 from wigeonpoint.platform._line_protocol import (
     END_OF_LINE,
@@ -40,7 +41,9 @@
 class LineMemberConnector:
     """Opens connections to members over the line protocol."""
 
-    async def connect(self, record: MemberRecord, *, timeout: float) -> LineMemberConnection:
+    async def connect(
+        self, record: MemberRecord, *, timeout: float, verify: bool = True
+    ) -> LineMemberConnection:
         """Opens a connection and names the service and the member expected at the address."""
         try:
             async with asyncio.timeout(timeout):
@@ -70,6 +73,11 @@
         """Whether the connection has ended."""
         return self._stream.closed()
 
+    @property
+    def verified(self) -> bool:
+        """Always true: the member has accepted the connection."""
+        return True
+
     async def open(self, record: MemberRecord) -> None:
         """Sends CONNECT with the service and the member expected at the address.
 
@@ -83,6 +91,9 @@
         if answer.fault is not None:
             raise MemberRefused(answer.fault)
 
+    def assign(self, terms: RequestTerms) -> None:
+        """Does nothing: the pool has queued the statement before it granted this connection."""
+
     async def run(
         self,
         statement: SessionStatement,
--- a/src/wigeonpoint/process/gateway/_connection_quota.py
+++ b/src/wigeonpoint/process/gateway/_connection_quota.py
@@ -22,6 +22,24 @@
 STARTUP_S = 1.2
 
 
+def largest_use(share: int, limit: int) -> int:
+    """Most connections to a member that an instance holds at a time.
+
+    Args:
+        share: The instance's share of the limit.
+        limit: The member's connection limit.
+    """
+    return min(_regular_limit(share) + _borrowed(limit), limit)
+
+
+def _regular_limit(share: int) -> int:
+    return max(int(share * USED_FRACTION), 1)
+
+
+def _borrowed(limit: int) -> int:
+    return max(int(limit * BORROWED_FRACTION), 1)
+
+
 class ConnectionQuota:
     """This instance's part of a member's connection limit.
 
@@ -40,7 +58,7 @@
     @property
     def regular_limit(self) -> int:
         """Number of connections that the instance may hold without borrowing."""
-        return max(int(self._share() * USED_FRACTION), 1)
+        return _regular_limit(self._share())
 
     @property
     def pause_remaining_s(self) -> float:
@@ -60,8 +78,9 @@
         """
         if asyncio.get_running_loop().time() - self._started_at < STARTUP_S:
             return max(self.regular_limit // 2, 1)
-        borrowed = max(int(self._limit() * BORROWED_FRACTION), 1) if waiting else 0
-        return max(min(self.regular_limit + borrowed, self._limit()), 1)
+        if waiting:
+            return max(largest_use(self._share(), self._limit()), 1)
+        return max(min(self.regular_limit, self._limit()), 1)
 
     def note_accepted(self) -> None:
         """Records that the member accepted a connection."""
--- a/src/wigeonpoint/process/gateway/_exchange.py
+++ b/src/wigeonpoint/process/gateway/_exchange.py
@@ -14,6 +14,7 @@
     MemberFault,
     PooledConnection,
 )
+from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway._primary_guard import PrimaryGuard
@@ -73,6 +74,7 @@
 
         Raises:
             MemberConnectionLost: The connection was lost; nothing of the transaction is kept.
+            NotRun: The member cannot begin it now.
         """
         with self._awaiting_answer():
             answer = await self._connection.member_connection.begin(
@@ -90,6 +92,7 @@
         Raises:
             StatementNotSent: The member refused to restore the session's state.
             MemberConnectionLost: The connection was lost, after the statement was sent if `sent`.
+            NotRun: The statement was refused before it reached the member.
         """
         name = await self._restore_session()
         sent_at = asyncio.get_running_loop().time()
@@ -110,6 +113,11 @@
         self._connection.waiting_since = loop.time()
         try:
             yield
+        except NotRun as error:
+            self.sent = False
+            if error.code is ResultCode.BACKEND_UNREACHABLE:
+                self._pool.note_late()
+            raise
         finally:
             timer.cancel()
             self._connection.waiting_since = None
--- a/src/wigeonpoint/process/gateway/_executor.py
+++ b/src/wigeonpoint/process/gateway/_executor.py
@@ -12,6 +12,7 @@
     MemberConnectionLost,
     MemberFault,
     PooledConnection,
+    RequestTerms,
 )
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.events import Event, log_event
@@ -55,9 +56,9 @@
         while True:
             try:
                 exchange = await self.open_exchange_at_primary(context)
+                answer = await self._write_once(context, exchange)
             except NotRun as error:
                 return reply_for_error(error)
-            answer = await self._write_once(context, exchange)
             if isinstance(answer, Reply):
                 return answer
             if not answer.fault or not answer.fault.not_run or context.remaining_s <= pause_s:
@@ -94,6 +95,11 @@
         self, context: StatementContext, pool: MemberPool, connection: PooledConnection
     ) -> Exchange:
         """Makes the exchange of a statement on a connection."""
+        connection.member_connection.assign(
+            RequestTerms(
+                context.route.rank, context.route.name, context.deadline, context.session.number
+            )
+        )
         return Exchange(
             context.group, pool, connection, context.session, context.statement, self._guard
         )
@@ -171,13 +177,20 @@
     async def _write_once(
         self, context: StatementContext, exchange: Exchange
     ) -> MemberAnswer | Reply:
-        """Sends a write once; returns the member's answer, or a reply if it is lost or in doubt."""
+        """Sends a write once; returns the member's answer, or a reply if it is lost or in doubt.
+
+        Raises:
+            NotRun: The write was refused before it reached the member.
+        """
         try:
             async with asyncio.timeout(max(context.remaining_s, 0)):
                 answer = await exchange.run()
         except StatementNotSent as refused:
             exchange.pool.release(exchange.connection)
             return refused.answer
+        except NotRun:
+            exchange.pool.release(exchange.connection)
+            raise
         except (MemberConnectionLost, TimeoutError) as error:
             exchange.connection.close()
             exchange.pool.release(exchange.connection)
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -8,6 +8,7 @@
 from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._executor import StatementExecutor
+from wigeonpoint.process.gateway._member_sharing import MemberSharing
 from wigeonpoint.process.gateway._platform import GatewayPlatform, Listener
 from wigeonpoint.process.gateway._platform_view import PlatformView
 from wigeonpoint.process.gateway._session_service import SessionService
@@ -26,9 +27,12 @@
     QuorumLeases,
     store_read_age_s,
 )
+from wigeonpoint.process.gateway.relay import RelayLinks, RelayService
 from wigeonpoint.version.catalogue import RegisteredInstance
 
 MAINTENANCE_INTERVAL_S = 0.25
+# After this long, the instances that were started together have registered.
+FLEET_START_S = 0.6
 # Of the time for which a leaving member goes on serving; the rest is for a change of primary while
 # an instance is missing.
 LEAVING_PRIMARY_WAIT_SHARE = 0.4
@@ -57,9 +61,21 @@
         self._isolated_since: float | None = None
         self._listeners: list[Listener] = []
         self._maintenance: asyncio.Task[None] | None = None
+        self._settle_timer: asyncio.TimerHandle | None = None
         self._dispatcher = PeerDispatcher()
         self._transport = platform.peer_transport(settings.peer_address, self._dispatcher)
-        self.view = PlatformView(platform, settings.data_centre)
+        # A connection of its own: disconnecting a silent relay must not end pings, nor the reverse.
+        self._relay_links = RelayLinks(
+            platform.peer_transport(settings.peer_address, self._dispatcher)
+        )
+        self._sharing = MemberSharing(settings.instance_id, lambda: self.control.instances)
+        self.view = PlatformView(
+            platform,
+            settings.data_centre,
+            self._sharing,
+            self._relay_links,
+            own=settings.instance_id,
+        )
         self._member_control = MemberControl(platform.connector)
         self.quorum_leases = QuorumLeases(self._member_control, lambda: self.view.groups, clock)
         self.control = ControlState(
@@ -71,7 +87,16 @@
             quorum_leases=self.quorum_leases,
             clock=clock,
             on_lease_regained=self.view.retry_suspects,
+            on_instances_changed=self._prewarm_if_restarted,
+        )
+        self.relay = RelayService(
+            platform.connector,
+            self._sharing,
+            lambda: self.view.groups,
+            self.control,
+            lambda: self.view.catalogue().transaction_idle_s,
         )
+        self.relay.register(self._dispatcher)
         self.executor = StatementExecutor(self.control)
         self.transactions = TransactionRunner(self.executor)
         self.sessions = SessionService(
@@ -100,6 +125,7 @@
         if self.failover is not None:
             self.failover.start()
         self._maintenance = asyncio.create_task(self._run_maintenance())
+        self._settle_timer = asyncio.get_running_loop().call_later(FLEET_START_S, self._prewarm)
         self._listeners = [
             self._platform.listen_for_callers(settings.caller_address, self.sessions.serve),
             self._platform.listen_for_readiness(settings.readiness_address, lambda: self.ready),
@@ -111,7 +137,8 @@
         """Reports not ready, ends the sessions without interrupting statements, and deregisters."""
         log_event(Event.INSTANCE_STOPPING, sessions=self.sessions.sessions)
         self._draining = True
-        shutdown = GatewayShutdown(self.sessions, self._settings.grace_s)
+        self.relay.drain()
+        shutdown = GatewayShutdown(self.sessions, self.relay, self._settings.grace_s)
         await shutdown.run()
         await self.control.deregister(timeout=shutdown.remaining_s)
         log_event(Event.DRAIN_FINISHED, sessions=self.sessions.sessions)
@@ -122,11 +149,15 @@
             listener.stop()
         if self._maintenance is not None:
             self._maintenance.cancel()
+        if self._settle_timer is not None:
+            self._settle_timer.cancel()
         if self.failover is not None:
             self.failover.close()
         self.peers.close()
         self.control.close()
         self._member_control.release()
+        self.relay.close()
+        self._relay_links.close()
         self.view.close()
         self._transport.close()
         self._platform.close()
@@ -206,11 +237,20 @@
         elif now - self._isolated_since >= BALANCER_DETECTION_S:
             self.sessions.close_idle(self.sessions.sessions)
 
+    def _prewarm_if_restarted(self) -> None:
+        """Opens the first connections at once after a restart, when the fleet is known."""
+        if self.control.registered_before and not self._sharing.settled:
+            self._prewarm()
+
+    def _prewarm(self) -> None:
+        self._sharing.settle()
+        self.view.prewarm()
+
     async def _run_maintenance(self) -> None:
         """Probes unavailable members and closes spare connections and sessions periodically."""
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            self.view.instances = max(len(self.control.instances), 1)
+            self.relay.maintain()
             self._close_sessions_while_isolated()
             for group in self.view.groups.values():
                 for pool in group.pools:
--- a/src/wigeonpoint/process/gateway/_group.py
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -7,8 +7,9 @@
 from dataclasses import dataclass
 
 from wigeonpoint.backend import LogPosition, MemberRole
-from wigeonpoint.connection.session import MemberConnector
+from wigeonpoint.connection.session import MemberConnection, MemberConnector
 from wigeonpoint.process.gateway._member_pool import MemberPool
+from wigeonpoint.process.gateway._member_sharing import MemberSharing
 from wigeonpoint.process.gateway._positions import PositionSamples, ReplicaProgress
 from wigeonpoint.process.gateway._read_placement import ReadCandidate, choose_read_member
 from wigeonpoint.version.catalogue import Consistency, DatabaseRoute, MemberRecord, Service
@@ -42,7 +43,8 @@
         connector: Opens connections to members.
         data_centre: Data centre of this instance.
         service: Returns the active service.
-        instances: Returns the number of instances that share the members' connection limits.
+        sharing: How the instances share the members' connections.
+        superseded: Tells whether an idle connection would be opened in another way now.
     """
 
     def __init__(
@@ -52,13 +54,15 @@
         *,
         data_centre: str,
         service: Callable[[], Service],
-        instances: Callable[[], int],
+        sharing: MemberSharing,
+        superseded: Callable[[MemberRecord, MemberConnection], bool],
     ) -> None:
         self._name = name
         self._connector = connector
         self._data_centre = data_centre
         self._get_service = service
-        self._count_instances = instances
+        self._sharing = sharing
+        self._superseded = superseded
         self._pools: dict[str, MemberPool] = {}
         self._progress: dict[str, ReplicaProgress] = {}
         self._recorded_primary_id: str | None = None
@@ -148,7 +152,9 @@
             return
 
     def prewarm(self) -> None:
-        """Opens the first connections to every member."""
+        """Opens the first connections to every member, unless relays hold them."""
+        if not self._sharing.settled or self._sharing.relayed(self.service.connection_limit):
+            return
         for pool in self._pools.values():
             if not pool.record.leaving:
                 pool.prewarm(PREWARMED_CONNECTIONS)
@@ -219,10 +225,11 @@
             self._connector,
             share=self._connection_share,
             limit=lambda: self.service.connection_limit,
+            superseded=lambda connection: self._superseded(record, connection),
         )
 
     def _connection_share(self) -> int:
-        return max(self.service.connection_limit // max(self._count_instances(), 1), 1)
+        return self._sharing.share(self.service.connection_limit)
 
     def _read_candidate(
         self,
--- a/src/wigeonpoint/process/gateway/_hedged_read.py
+++ b/src/wigeonpoint/process/gateway/_hedged_read.py
@@ -122,6 +122,8 @@
                 answer = await exchange.run(after=after)
         except StatementNotSent as refused:
             return refused.answer
+        except NotRun as error:
+            return error
         except (MemberConnectionLost, TimeoutError) as error:
             exchange.connection.close()
             pool.note_late()
--- a/src/wigeonpoint/process/gateway/_member_pool.py
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -8,6 +8,8 @@
 
 from wigeonpoint.connection.session import (
     LatencyEstimate,
+    MemberConnection,
+    MemberConnectionLost,
     MemberConnector,
     MemberFault,
     MemberHealth,
@@ -30,6 +32,7 @@
 MIN_OVERDUE_S = 0.1  # an answer is overdue only after this long, however fast the member usually is
 SPARE_IDLE_S = 0.5  # idle connections above the regular limit are closed after this
 MIN_RETRY_MS = 20
+ROLLBACK_TIMEOUT_S = 0.5
 HOLD_WEIGHT = 0.1  # of the newest value in the smoothed time for which a connection is held
 INITIAL_HOLD_S = 0.02
 
@@ -45,6 +48,8 @@
         connector: Opens connections.
         share: Returns this instance's equal share of the limit.
         limit: Returns the member's connection limit.
+        superseded: Tells whether an idle connection should be closed because it would be opened in
+            another way now.
     """
 
     def __init__(
@@ -54,9 +59,11 @@
         *,
         share: Callable[[], int],
         limit: Callable[[], int],
+        superseded: Callable[[MemberConnection], bool] = lambda connection: False,
     ) -> None:
         self._record = record
         self._connector = connector
+        self._superseded = superseded
         self._quota = ConnectionQuota(share=share, limit=limit)
         self._idle: deque[PooledConnection] = deque()
         self._in_use: set[PooledConnection] = set()
@@ -141,6 +148,17 @@
         self._idle.append(connection)
         self._grant_idle()
 
+    async def roll_back(self, connection: PooledConnection) -> None:
+        """Rolls back the transaction of a connection and returns the connection to the pool."""
+        if not connection.closed:
+            try:
+                async with asyncio.timeout(ROLLBACK_TIMEOUT_S):
+                    answer = await connection.member_connection.rollback()
+                connection.state = answer.state
+            except (MemberConnectionLost, TimeoutError):
+                connection.close()  # the member rolls back when the connection ends
+        self.release(connection)
+
     def retire(self) -> None:
         """Grants no further connections; those in use are closed when they are released."""
         self._closed = True
@@ -149,18 +167,23 @@
 
     def prewarm(self, connections: int) -> None:
         """Opens connections before the first statements need them."""
-        wanted = (
-            min(connections, self._quota.current_limit(waiting=bool(self._schedule)))
-            - self.open
-            - len(self._opening)
-        )
+        wanted = min(connections, self._quota.regular_limit) - self.open - len(self._opening)
         for _ in range(max(wanted, 0)):
-            self._start_opening()
+            self._start_opening(verify=False)
 
     def probe(self) -> None:
         """Tries to connect unless an attempt is running, to find out whether the member answers."""
         if not self._opening and self.health.may_connect and not self._closed:
-            self._start_opening()
+            self._start_opening(verify=True)
+
+    async def verify(self) -> bool:
+        """Whether the member answers; connects to it to find out if there is reason to doubt it."""
+        if self._answered_recently and self.health.available:
+            return True
+        self.probe()
+        if self._opening:
+            await asyncio.wait(set(self._opening), return_when=asyncio.FIRST_COMPLETED)
+        return self.health.available and self.health.answered_at is not None
 
     def note_answered(self, sent_at: float) -> None:
         """Records that a statement was answered.
@@ -177,13 +200,12 @@
 
     def note_late(self) -> None:
         """Handles an unusually late answer; probes unless the member has answered recently."""
-        answered_at = self.health.answered_at
-        now = asyncio.get_running_loop().time()
-        if answered_at is None or now - answered_at > RECENT_ANSWER_S:
+        if not self._answered_recently:
             self.probe()
 
     def close_spare_connections(self) -> None:
-        """Closes idle connections above the regular limit that have not been used for a while."""
+        """Closes idle connections that are superseded, or unneeded and above the regular limit."""
+        self._close_superseded()
         now = asyncio.get_running_loop().time()
         while self.open > self._quota.regular_limit and self._idle:
             if now - self._idle[0].idle_since < SPARE_IDLE_S:
@@ -274,11 +296,23 @@
             if connection.waiting_since is not None and connection.waiting_since < sent_before
         )
 
+    @property
+    def _answered_recently(self) -> bool:
+        answered_at = self.health.answered_at
+        now = asyncio.get_running_loop().time()
+        return answered_at is not None and now - answered_at <= RECENT_ANSWER_S
+
+    def _close_superseded(self) -> None:
+        for connection in list(self._idle):
+            if self._superseded(connection.member_connection):
+                self._idle.remove(connection)
+                connection.close()
+
     def _open_for_waiting(self) -> None:
         if self._closed:
             return
         while len(self._schedule) > len(self._opening) and self._may_open():
-            self._start_opening()
+            self._start_opening(verify=not self.health.available)
 
     def _may_open(self) -> bool:
         if not self.health.available and (self._opening or not self.health.may_connect):
@@ -290,8 +324,8 @@
         limit = self._quota.current_limit(waiting=bool(self._schedule))
         return self.open + len(self._opening) - self._overdue_connections() < limit
 
-    def _start_opening(self) -> None:
-        task = asyncio.create_task(self._open())
+    def _start_opening(self, *, verify: bool) -> None:
+        task = asyncio.create_task(self._open(verify))
         self._opening.add(task)
         task.add_done_callback(self._on_opening_done)
 
@@ -301,10 +335,10 @@
             task.result()
             self._grant_idle()
 
-    async def _open(self) -> None:
+    async def _open(self, verify: bool) -> None:
         try:
             member_connection = await self._connector.connect(
-                self._record, timeout=CONNECT_TIMEOUT_S
+                self._record, timeout=CONNECT_TIMEOUT_S, verify=verify
             )
         except MemberUnreachable as error:
             self._note_unreachable(str(error))
@@ -312,9 +346,10 @@
         except MemberRefused as error:
             self._note_refusal(error.fault)
             return
-        if not self.health.available:
-            log_event(Event.MEMBER_REACHABLE, member=self._record.id)
-        self.health.note_answer()
+        if member_connection.verified:
+            if not self.health.available:
+                log_event(Event.MEMBER_REACHABLE, member=self._record.id)
+            self.health.note_answer()
         self._quota.note_accepted()
         self.opened += 1
         connection = PooledConnection(member_connection, self._record)
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -7,8 +7,10 @@
 
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.process.gateway._member_sharing import MemberSharing
 from wigeonpoint.process.gateway._platform import GatewayPlatform
 from wigeonpoint.process.gateway._table_feed import TableFeed
+from wigeonpoint.process.gateway.relay import RelayingConnector, RelayLinks
 from wigeonpoint.services import VersionedRow
 from wigeonpoint.version.catalogue import (
     ActiveCatalogue,
@@ -25,18 +27,36 @@
     Args:
         platform: The platform.
         data_centre: Data centre of this instance.
+        sharing: How the instances share the members' connections.
+        links: Links to the relays of members.
+        own: Name of this instance.
     """
 
-    def __init__(self, platform: GatewayPlatform, data_centre: str) -> None:
+    def __init__(
+        self,
+        platform: GatewayPlatform,
+        data_centre: str,
+        sharing: MemberSharing,
+        links: RelayLinks,
+        *,
+        own: str,
+    ) -> None:
         self._platform = platform
         self._data_centre = data_centre
+        self._sharing = sharing
+        self._connector = RelayingConnector(
+            own,
+            platform.connector,
+            sharing,
+            links,
+            lambda service: self._active_service(service).connection_limit,
+        )
         self._active = ActiveCatalogue()
         self._directory = MemberDirectory()
         self._groups: dict[str, Group] = {}
         self._decoded_members: dict[str, tuple[VersionedRow, MemberRecord | None]] = {}
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._loaded_event = asyncio.Event()
-        self.instances = 1
         self.operators = TableFeed(platform.store, platform.tables.operators, self._apply_operators)
         self.members = TableFeed(platform.store, platform.tables.members, self._apply_members)
 
@@ -60,10 +80,11 @@
         if group is None:
             group = self._groups[name] = Group(
                 name,
-                self._platform.connector,
+                self._connector,
                 data_centre=self._data_centre,
                 service=lambda: self._active_service(name),
-                instances=lambda: self.instances,
+                sharing=self._sharing,
+                superseded=self._connector.superseded,
             )
         return group
 
@@ -105,6 +126,11 @@
                     pool.health.retry_now()
                     pool.probe()
 
+    def prewarm(self) -> None:
+        """Opens the first connections to the members."""
+        for group in self._groups.values():
+            group.prewarm()
+
     def start(self) -> None:
         """Starts following the tables."""
         self.operators.start()
--- a/src/wigeonpoint/process/gateway/_shutdown.py
+++ b/src/wigeonpoint/process/gateway/_shutdown.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from wigeonpoint.process.gateway._session_service import SessionService
+from wigeonpoint.process.gateway.relay import RelayService
 
 # The balancer probes once a second and stops sending callers after two failed probes.
 BALANCER_DETECTION_S = 2.3
@@ -20,11 +21,13 @@
 
     Args:
         sessions: The sessions.
+        relay: Runs statements of other instances, whose transactions may end first.
         grace_s: Seconds until the process is killed.
     """
 
-    def __init__(self, sessions: SessionService, grace_s: float) -> None:
+    def __init__(self, sessions: SessionService, relay: RelayService, grace_s: float) -> None:
         self._sessions = sessions
+        self._relay = relay
         self._grace_s = grace_s
         self._started_at = asyncio.get_running_loop().time()
 
@@ -42,7 +45,7 @@
         await asyncio.sleep(detection_s)
         aborted = False
         while loop.time() - started_at < self._grace_s - EXIT_MARGIN_S:
-            if not self._sessions.sessions:
+            if not self._sessions.sessions and not self._relay.transactions:
                 return
             self._sessions.close_idle(max(int(self._sessions.sessions * CLOSE_FRACTION), 1))
             if not aborted and loop.time() - started_at >= self._grace_s * TRANSACTION_FRACTION:
--- a/src/wigeonpoint/process/gateway/_transactions.py
+++ b/src/wigeonpoint/process/gateway/_transactions.py
@@ -29,7 +29,6 @@
     refuse_statement,
 )
 
-ROLLBACK_TIMEOUT_S = 0.5
 MAX_BEGIN_ATTEMPTS = 6
 
 
@@ -124,9 +123,9 @@
         for _ in range(MAX_BEGIN_ATTEMPTS):
             try:
                 exchange, after = await self._open_exchange(context, transaction, tried)
+                answer = await self._begin(context, exchange, transaction.read_only, after)
             except NotRun as error:
                 return reply_for_error(error)
-            answer = await self._begin(context, exchange, transaction.read_only, after)
             if isinstance(answer, MemberAnswer) and answer.fault is None:
                 self._attach_connection(context, transaction, exchange)
                 return exchange
@@ -172,6 +171,9 @@
             exchange.connection.close()
             exchange.pool.note_late()
             return refuse_statement(Refusal.UNAVAILABLE, str(error) or "no answer in time")
+        except NotRun:
+            exchange.pool.release(exchange.connection)
+            raise
 
     @staticmethod
     def _begin_timeout_s(context: StatementContext, pool: MemberPool) -> float:
@@ -196,7 +198,7 @@
                     answer = await exchange.run()
             except StatementNotSent as refused:
                 answer = refused.answer
-            except (MemberConnectionLost, TimeoutError) as error:
+            except (MemberConnectionLost, NotRun, TimeoutError) as error:
                 exchange.connection.close()
                 exchange.pool.note_late()
                 return _aborted_reply(str(error) or "no answer in time")
@@ -217,6 +219,9 @@
         except StatementNotSent as refused:
             exchange.connection.close()
             return _aborted_reply(refused.answer.detail)
+        except NotRun as error:
+            exchange.connection.close()
+            return _aborted_reply(error.message)
         except (MemberConnectionLost, TimeoutError) as error:
             exchange.connection.close()
             exchange.pool.note_late()
@@ -270,14 +275,7 @@
 
     async def _return_connection(self, connection: PooledConnection) -> None:
         binding = self._bindings.pop(connection)
-        if not connection.closed:
-            try:
-                async with asyncio.timeout(ROLLBACK_TIMEOUT_S):
-                    answer = await connection.member_connection.rollback()
-                connection.state = answer.state
-            except (MemberConnectionLost, TimeoutError):
-                connection.close()  # the member rolls back when the connection ends
-        binding.pool.release(connection)
+        await binding.pool.roll_back(connection)
 
 
 def _executes_prepared_write(context: StatementContext) -> bool:
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -62,6 +62,7 @@
         quorum_leases: Confirmations of primaries by the members of their groups.
         clock: Gives seconds; it must also count the time for which the machine is suspended.
         on_lease_regained: Called when the lease becomes valid.
+        on_instances_changed: Called when instances have been registered or deregistered.
     """
 
     def __init__(
@@ -75,6 +76,7 @@
         quorum_leases: QuorumLeases,
         clock: Clock,
         on_lease_regained: Callable[[], None] = lambda: None,
+        on_instances_changed: Callable[[], None] = lambda: None,
     ) -> None:
         self._name = name
         self._registration = registration
@@ -83,6 +85,7 @@
         self._members = members
         self._quorum_leases = quorum_leases
         self._on_lease_regained = on_lease_regained
+        self._on_instances_changed = on_instances_changed
         self._lease_valid_since: float | None = None
         self._leaderships: dict[str, Leadership] = {}
         self._instances: dict[str, RegisteredInstance] = {}
@@ -122,6 +125,11 @@
         """Whether this instance is registered, so that claimants wait for its confirmation."""
         return self._instances.get(self._name) == self._registration
 
+    @property
+    def registered_before(self) -> bool:
+        """Whether the instance was registered when this process started."""
+        return self.registered and not self._registration_written
+
     @property
     def _lease_renewed_recently(self) -> bool:
         """Whether the store or the peers renewed the lease recently."""
@@ -284,7 +292,9 @@
             instances.pop(self._name, None)
         for name in self._instances.keys() - instances.keys():
             self.lease.forget_peer(name)
-        self._instances = instances
+        if instances != self._instances:
+            self._instances = instances
+            self._on_instances_changed()
         for group, leadership in records.leaderships().items():
             self.adopt_leadership(group, leadership)
 
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/relay/_links.py
@@ -0,0 +1,137 @@
+"""Sends messages to relays, and remembers which of them do not answer."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from wigeonpoint.connection import PeerTransport
+from wigeonpoint.errors import InvalidRequest, NotRun, ResultCode, WigeonpointError
+from wigeonpoint.events import Event, log_event
+
+INITIAL_PAUSE_S = 0.1
+MAX_PAUSE_S = 1.0
+# A relay that fails after it has answered nothing for this long is disconnected, which ends the
+# statements that wait for it.
+SILENT_RELAY_S = 0.2
+BACKGROUND_TIMEOUT_S = 0.5
+
+# Refusals of a relay that does not answer or stops; it is not used for a while.
+_RELAY_LOST = frozenset({ResultCode.PEER_UNREACHABLE, ResultCode.INSTANCE_STOPPING})
+# Refusals for what this relay knows now; another relay may run the statement.
+_RELAY_BEHIND = frozenset({ResultCode.NO_PRIMARY, ResultCode.NOT_OWNER})
+
+ReplyT = TypeVar("ReplyT")
+
+
+class RelayUnavailable(Exception):
+    """A relay did not run a statement, for a reason that need not hold for other relays."""
+
+
+@dataclass(slots=True)
+class _RelayState:
+    failures: int = 0
+    paused_until: float = float("-inf")
+    answered_at: float = float("-inf")
+
+
+class RelayLinks:
+    """Links of this instance to the relays of all members.
+
+    Args:
+        transport: Sends messages; it should carry nothing else, as it is disconnected from relays
+            that stay silent.
+    """
+
+    def __init__(self, transport: PeerTransport) -> None:
+        self._transport = transport
+        self._states: dict[str, _RelayState] = {}
+        self._background: set[asyncio.Task[None]] = set()
+
+    def usable(self, address: str) -> bool:
+        """Whether a relay should be used now."""
+        state = self._states.get(address)
+        return state is None or asyncio.get_running_loop().time() >= state.paused_until
+
+    async def request(
+        self, address: str, message: Any, reply_type: type[ReplyT], *, timeout: float
+    ) -> ReplyT:
+        """Sends a message to a relay and waits for the reply.
+
+        Args:
+            address: Address of the relay.
+            message: The message.
+            reply_type: Type of the reply.
+            timeout: Seconds to wait for the reply.
+
+        Raises:
+            RelayUnavailable: The relay has not run anything, and another one may.
+            NotRun: The relay refused for a reason that holds for other relays too.
+            OutcomeUnknown: There was no reply, or the relay does not know the outcome.
+        """
+        try:
+            reply = await self._transport.request(address, message, reply_type, timeout=timeout)
+        except NotRun as error:
+            if error.code in _RELAY_LOST:
+                self.note_failed(address, error.message)
+                raise RelayUnavailable(error.message) from error
+            self.note_answered(address)
+            if error.code in _RELAY_BEHIND:
+                raise RelayUnavailable(error.message) from error
+            raise
+        except InvalidRequest as error:  # an instance of an older version
+            self.note_answered(address)
+            raise RelayUnavailable(error.message) from error
+        self.note_answered(address)
+        return reply
+
+    def send_in_background(self, address: str, message: Any, reply_type: type[Any]) -> None:
+        """Sends a message whose reply nothing waits for."""
+        task = asyncio.create_task(self._send(address, message, reply_type))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
+    def note_answered(self, address: str) -> None:
+        """Records an answer of a relay."""
+        state = self._states.setdefault(address, _RelayState())
+        state.failures = 0
+        state.paused_until = float("-inf")
+        state.answered_at = asyncio.get_running_loop().time()
+
+    def note_late(self, address: str, sent_at: float) -> None:
+        """Has other relays used for a moment if one has answered nothing since a message.
+
+        Args:
+            address: Address of the relay.
+            sent_at: Event-loop time, in seconds, at which the message was sent.
+        """
+        state = self._states.setdefault(address, _RelayState())
+        if state.answered_at < sent_at:
+            now = asyncio.get_running_loop().time()
+            state.paused_until = max(state.paused_until, now + INITIAL_PAUSE_S)
+
+    def note_failed(self, address: str, reason: str) -> None:
+        """Records that a relay does not answer or stops; ends what waits for a silent one."""
+        state = self._states.setdefault(address, _RelayState())
+        if state.failures == 0:
+            log_event(Event.RELAY_UNAVAILABLE, address=address, reason=reason)
+        now = asyncio.get_running_loop().time()
+        state.paused_until = now + min(INITIAL_PAUSE_S * 2**state.failures, MAX_PAUSE_S)
+        state.failures = min(state.failures + 1, 16)
+        if now - state.answered_at >= SILENT_RELAY_S:
+            self._transport.disconnect(address)
+
+    def close(self) -> None:
+        """Closes the links."""
+        for task in self._background:
+            task.cancel()
+        self._transport.close()
+
+    async def _send(self, address: str, message: Any, reply_type: type[Any]) -> None:
+        try:
+            await self._transport.request(
+                address, message, reply_type, timeout=BACKGROUND_TIMEOUT_S
+            )
+        except WigeonpointError as error:
+            log_event(Event.RELAY_MESSAGE_LOST, address=address, reason=error.message)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -127,10 +127,29 @@
     def __init__(self, network: FakeNetwork, address: str, dispatcher: PeerDispatcher) -> None:
         self._network = network
         self._address = address
+        self._open: dict[str, set[asyncio.Task[Any]]] = {}
         network.dispatchers[address] = dispatcher
 
     async def request(
         self, address: str, message: Any, reply_type: type[ReplyT], *, timeout: float
+    ) -> ReplyT:
+        """Delivers a message; its outcome is unknown if it is disconnected meanwhile."""
+        task = asyncio.ensure_future(self._request(address, message, reply_type, timeout=timeout))
+        self._open.setdefault(address, set()).add(task)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            current = asyncio.current_task()
+            if current is not None and current.cancelling():
+                raise
+            raise OutcomeUnknown(
+                ResultCode.CONNECTION_LOST, f"connection to {address} was lost"
+            ) from None
+        finally:
+            self._open[address].discard(task)
+
+    async def _request(
+        self, address: str, message: Any, reply_type: type[ReplyT], *, timeout: float
     ) -> ReplyT:
         """Delivers a message; if the answer cannot return, the outcome is unknown."""
         own = self._network.data_centres[self._address]
@@ -158,7 +177,9 @@
         return reply
 
     def disconnect(self, address: str) -> None:
-        """Does nothing, since each message over the fake network has its own timeout."""
+        """Ends the open requests to an address."""
+        for task in self._open.get(address, ()):
+            task.cancel()
 
     def close(self) -> None:
         """Makes the instance unreachable."""
--- a/tests/gateway/_members.py
+++ b/tests/gateway/_members.py
@@ -14,6 +14,7 @@
     MemberRefused,
     MemberReport,
     MemberUnreachable,
+    RequestTerms,
 )
 from wigeonpoint.request.session import (
     PreparedStatement,
@@ -227,6 +228,14 @@
         """Whether it is closed; a member that stops running closes all its connections."""
         return self._closed or not self._member.running
 
+    @property
+    def verified(self) -> bool:
+        """Always true: the member has accepted the connection."""
+        return True
+
+    def assign(self, terms: RequestTerms) -> None:
+        """Does nothing: members do not queue by rank."""
+
     async def run(
         self,
         statement: SessionStatement,
@@ -388,7 +397,9 @@
         self._groups = groups
         self._data_centre = data_centre
 
-    async def connect(self, record: MemberRecord, *, timeout: float) -> ModelConnection:
+    async def connect(
+        self, record: MemberRecord, *, timeout: float, verify: bool = True
+    ) -> ModelConnection:
         """Connects to a member."""
         group = self._groups[record.service]
         member = group.members.get(record.id)
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -132,6 +132,8 @@
     "INSTANCE_DEREGISTERED": (
         "No instance had reached it for seconds; it registers again when it returns."
     ),
+    "RELAY_UNAVAILABLE": "Statements go to other relays; it is tried again after a pause.",
+    "RELAY_MESSAGE_LOST": "The relay rolls the transaction back once it has been idle for long.",
     "MEMBERS_SUSPENDED": "An instance did not confirm the claim, so members block the old primary.",
     "HANDOVER_ENDED": (
         "The successor is primary, or the change was cancelled. The outcomes of `unconfirmed` "
