Drop position samples when the machine was suspended

Cause: the age of a position sample was measured by the event loop's clock, which does not count suspensions. After a suspension of some seconds, an old sample still looked recent, and a replica that had received nothing meanwhile served a read older than its route allows.

Change: each group compares that clock with the one that counts suspensions and drops its samples when they differ by more; an answer to a statement sent before that adds none.

Test: test_suspended_instance_knows_no_recent_position served the old value before the change.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -14,11 +14,11 @@
 from wigeonpoint.process.gateway._session_service import SessionService
 from wigeonpoint.process.gateway._settings import GatewaySettings
 from wigeonpoint.process.gateway._shutdown import BALANCER_DETECTION_S, GatewayShutdown
+from wigeonpoint.process.gateway._suspension import Clock
 from wigeonpoint.process.gateway._transactions import TransactionRunner
 from wigeonpoint.process.gateway.control import (
     CONTROL_TABLE,
     AnnouncementHandler,
-    Clock,
     ControlState,
     Failover,
     GatewayPeers,
@@ -75,6 +75,7 @@
             self._sharing,
             self._relay_links,
             own=settings.instance_id,
+            clock=clock,
         )
         self._member_control = MemberControl(platform.connector)
         self.quorum_leases = QuorumLeases(self._member_control, lambda: self.view.groups, clock)
--- a/src/wigeonpoint/process/gateway/_group.py
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -12,6 +12,7 @@
 from wigeonpoint.process.gateway._member_sharing import MemberSharing
 from wigeonpoint.process.gateway._positions import PositionSamples, ReplicaProgress
 from wigeonpoint.process.gateway._read_placement import ReadCandidate, choose_read_member
+from wigeonpoint.process.gateway._suspension import Clock, SuspensionWatch
 from wigeonpoint.version.catalogue import Consistency, DatabaseRoute, MemberRecord, Service
 
 PREWARMED_CONNECTIONS = 2
@@ -43,6 +44,7 @@
         connector: Opens connections to members.
         data_centre: Data centre of this instance.
         service: Returns the active service.
+        clock: Gives seconds; it must also count the time for which the machine is suspended.
         sharing: How the instances share the members' connections.
         superseded: Tells whether an idle connection would be opened in another way now.
     """
@@ -54,6 +56,7 @@
         *,
         data_centre: str,
         service: Callable[[], Service],
+        clock: Clock,
         sharing: MemberSharing,
         superseded: Callable[[MemberRecord, MemberConnection], bool],
     ) -> None:
@@ -61,6 +64,7 @@
         self._connector = connector
         self._data_centre = data_centre
         self._get_service = service
+        self._suspension = SuspensionWatch(clock)
         self._sharing = sharing
         self._superseded = superseded
         self._pools: dict[str, MemberPool] = {}
@@ -171,6 +175,7 @@
         """
         if route.consistency is Consistency.CURRENT or route.max_age_s is None:
             return PRIMARY_ONLY
+        self._drop_samples_after_suspension()
         sample = self.samples.oldest_since(now - route.max_age_s + SAMPLE_AGE_MARGIN_S)
         if sample is None:
             return PRIMARY_ONLY
@@ -203,6 +208,9 @@
         """
         if position is None:
             return
+        self._drop_samples_after_suspension()
+        if sent_at < self._suspension.noticed_at:
+            return  # the answer may be as old as the suspension was long
         if member_id == self.primary_id:
             self.samples.add(position, sent_at)
             return
@@ -219,6 +227,11 @@
             first_seen_at = self.samples.first_seen_at(position)
             progress.note_behind(now, position_age_s=now - (first_seen_at or now))
 
+    def _drop_samples_after_suspension(self) -> None:
+        """Drops samples that are older than the event loop's clock tells."""
+        if self._suspension.check():
+            self.samples.clear()
+
     def _new_pool(self, record: MemberRecord) -> MemberPool:
         return MemberPool(
             record,
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -9,6 +9,7 @@
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_sharing import MemberSharing
 from wigeonpoint.process.gateway._platform import GatewayPlatform
+from wigeonpoint.process.gateway._suspension import Clock
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.relay import RelayingConnector, RelayLinks
 from wigeonpoint.services import VersionedRow
@@ -30,6 +31,7 @@
         sharing: How the instances share the members' connections.
         links: Links to the relays of members.
         own: Name of this instance.
+        clock: Gives seconds; it must also count the time for which the machine is suspended.
     """
 
     def __init__(
@@ -40,10 +42,12 @@
         links: RelayLinks,
         *,
         own: str,
+        clock: Clock,
     ) -> None:
         self._platform = platform
         self._data_centre = data_centre
         self._sharing = sharing
+        self._clock = clock
         self._connector = RelayingConnector(
             own,
             platform.connector,
@@ -83,6 +87,7 @@
                 self._connector,
                 data_centre=self._data_centre,
                 service=lambda: self._active_service(name),
+                clock=self._clock,
                 sharing=self._sharing,
                 superseded=self._connector.superseded,
             )
--- a/src/wigeonpoint/process/gateway/control/__init__.py
+++ b/src/wigeonpoint/process/gateway/control/__init__.py
@@ -5,7 +5,7 @@
 from wigeonpoint.process.gateway.control._announcement_handler import AnnouncementHandler
 from wigeonpoint.process.gateway.control._control_state import ControlState
 from wigeonpoint.process.gateway.control._failover import Failover
-from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S, Clock, Lease
+from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S, Lease
 from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._messages import GatewayState
 from wigeonpoint.process.gateway.control._peers import GatewayPeers, store_read_age_s
@@ -29,7 +29,6 @@
     "LEASE_DURATION_S",
     "FULL_MESH_LIMIT",
     "AnnouncementHandler",
-    "Clock",
     "ControlState",
     "Lease",
     "Failover",
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -11,9 +11,10 @@
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
+from wigeonpoint.process.gateway._suspension import Clock
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._handover import Handover
-from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S, Clock, Lease
+from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S, Lease
 from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._quorum_leases import QuorumLeases
 from wigeonpoint.process.gateway.control._records import (
--- a/src/wigeonpoint/process/gateway/control/_lease.py
+++ b/src/wigeonpoint/process/gateway/control/_lease.py
@@ -11,11 +11,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Collection
+from collections.abc import Collection
 from dataclasses import dataclass
 
+from wigeonpoint.process.gateway._suspension import Clock
+
 LEASE_DURATION_S = 0.6
-Clock = Callable[[], float]
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/process/gateway/control/_quorum_leases.py
+++ b/src/wigeonpoint/process/gateway/control/_quorum_leases.py
@@ -16,7 +16,8 @@
 
 from wigeonpoint.connection.session import MemberReport
 from wigeonpoint.process.gateway._group import Group
-from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S, Clock
+from wigeonpoint.process.gateway._suspension import Clock
+from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S
 from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._messages import ConfirmedPrimary
 from wigeonpoint.version.catalogue import MemberRecord
--- a/tests/gateway/_cluster.py
+++ b/tests/gateway/_cluster.py
@@ -140,6 +140,8 @@
         self.nodes: dict[str, Node] = {}
         self._report_task: asyncio.Task[None] | None = None
         self.config_version = 1
+        # Seconds for which an instance's machine was suspended, which the event loop did not count.
+        self.suspended_s: dict[str, float] = {}
         for index, data_centre in enumerate(DATA_CENTRES):
             self.group.add(f"m-{data_centre}", data_centre, primary=index == 0)
 
@@ -196,7 +198,9 @@
             leaving_s=7.0,
         )
         loop = asyncio.get_running_loop()
-        gateway = Gateway(settings, platform, clock=loop.time)
+        gateway = Gateway(
+            settings, platform, clock=lambda: loop.time() + self.suspended_s.get(name, 0.0)
+        )
         self.nodes[name] = Node(gateway, platform, data_centre)
         gateway.start()
         return gateway
--- a/tests/gateway/test_reads.py
+++ b/tests/gateway/test_reads.py
@@ -69,6 +69,21 @@
                     assert int(result.reply.rows[0]) >= due[-1]
                 await asyncio.sleep(0.1)
 
+    async def test_suspended_instance_knows_no_recent_position(self) -> None:
+        """Guards against samples that look recent because the suspension was not counted."""
+        async with GatewayCluster() as cluster:
+            writer = await cluster.caller("g-chur", "current")
+            await write_some(writer, 5)
+            reader = await cluster.caller("g-stgallen", "aged")
+            assert (await reader.query("READ a")).served
+            for data_centre in ("stgallen", "sargans"):  # they receive nothing from now on
+                cluster.group.suspend(cluster.member(data_centre), 1000)
+            assert (await writer.query("WRITE a new")).served
+            await asyncio.sleep(0.5)
+            cluster.suspended_s["g-stgallen"] = 5.0
+            result = await reader.query("READ a")
+            assert not result.served or result.reply.rows == ["new"]
+
     async def test_replaced_primary_with_a_longer_log_serves_no_aged_reads(self) -> None:
         """Guards against a stale read at a replaced primary that compares lengths only."""
         async with GatewayCluster() as cluster:
