Share positions of primaries through their relays

Cause: a read of a stated age needs a position that the primary reported within that age. In a fleet of 78, an instance sends each primary about one statement in two seconds, so it rarely knows one, and reads that a replica could serve go to the primary.

Change: an instance without a recent position asks the primary's relay for its newest one, whose statements come from a quarter of the fleet. Its age is counted from before the question, so that it never looks younger than it is.

Test: TestReplicaReads in tests/gateway/test_relay.py; without the question the primary serves the aged reads of all instances.

--- a/src/wigeonpoint/process/gateway/_group.py
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -5,12 +5,17 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 from wigeonpoint.backend import LogPosition, MemberRole
 from wigeonpoint.connection.session import MemberConnection, MemberConnector
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway._member_sharing import MemberSharing
-from wigeonpoint.process.gateway._positions import PositionSamples, ReplicaProgress
+from wigeonpoint.process.gateway._positions import (
+    PositionSample,
+    PositionSamples,
+    ReplicaProgress,
+)
 from wigeonpoint.process.gateway._read_placement import ReadCandidate, choose_read_member
 from wigeonpoint.process.gateway._suspension import Clock, SuspensionWatch
 from wigeonpoint.version.catalogue import Consistency, DatabaseRoute, MemberRecord, Service
@@ -36,6 +41,14 @@
 PRIMARY_ONLY = ReadRequirement(primary_only=True)
 
 
+class SampleSource(Protocol):
+    """Fetches positions of primaries from other instances."""
+
+    async def fetch(self, primary: MemberRecord) -> PositionSample | None:
+        """Fetches the newest position that another instance knows, None if there is none."""
+        ...
+
+
 class Group:
     """One database group as this instance sees it.
 
@@ -47,6 +60,7 @@
         clock: Gives seconds; it must also count the time for which the machine is suspended.
         sharing: How the instances share the members' connections.
         superseded: Tells whether an idle connection would be opened in another way now.
+        sample_source: Fetches positions of primaries from their relays.
     """
 
     def __init__(
@@ -59,6 +73,7 @@
         clock: Clock,
         sharing: MemberSharing,
         superseded: Callable[[MemberRecord, MemberConnection], bool],
+        sample_source: SampleSource,
     ) -> None:
         self._name = name
         self._connector = connector
@@ -67,6 +82,8 @@
         self._suspension = SuspensionWatch(clock)
         self._sharing = sharing
         self._superseded = superseded
+        self._sample_source = sample_source
+        self._fetching: asyncio.Task[None] | None = None
         self._pools: dict[str, MemberPool] = {}
         self._progress: dict[str, ReplicaProgress] = {}
         self._recorded_primary_id: str | None = None
@@ -163,6 +180,35 @@
             if not pool.record.leaving:
                 pool.prewarm(PREWARMED_CONNECTIONS)
 
+    def newest_sample(self) -> PositionSample | None:
+        """The newest position that the primary reported to this instance, None if there is none."""
+        self._drop_samples_after_suspension()
+        return self.samples.newest
+
+    async def refresh_samples(self, route: DatabaseRoute) -> None:
+        """Fetches a position from a relay of the primary if none is recent enough for a route.
+
+        In a large fleet, an instance sends few statements to each primary itself. Without a recent
+        position of it, all reads would have to go there.
+        """
+        primary = self.primary
+        if route.consistency is Consistency.CURRENT or route.max_age_s is None or primary is None:
+            return
+        now = asyncio.get_running_loop().time()
+        if self.read_requirement(route, None, now) is not PRIMARY_ONLY:
+            return
+        if self._fetching is None:
+            self._fetching = asyncio.create_task(self._fetch_sample(primary.record))
+        await asyncio.shield(self._fetching)
+
+    async def _fetch_sample(self, primary: MemberRecord) -> None:
+        try:
+            sample = await self._sample_source.fetch(primary)
+            if sample is not None and primary.id == self.primary_id:
+                self.note_answer(primary.id, sample.position, sent_at=sample.sent_at)
+        finally:
+            self._fetching = None
+
     def read_requirement(
         self, route: DatabaseRoute, committed: LogPosition | None, now: float
     ) -> ReadRequirement:
--- a/src/wigeonpoint/process/gateway/_hedged_read.py
+++ b/src/wigeonpoint/process/gateway/_hedged_read.py
@@ -67,6 +67,7 @@
         if self._tried and not self._may_retry():
             return False
         context = self._context
+        await context.group.refresh_samples(context.route)
         now = asyncio.get_running_loop().time()
         requirement = context.group.read_requirement(context.route, context.committed, now)
         pool = context.group.choose_read_member(requirement, now, excluded=frozenset(self._tried))
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -90,6 +90,7 @@
                 clock=self._clock,
                 sharing=self._sharing,
                 superseded=self._connector.superseded,
+                sample_source=self._connector,
             )
         return group
 
--- a/src/wigeonpoint/process/gateway/_transactions.py
+++ b/src/wigeonpoint/process/gateway/_transactions.py
@@ -150,6 +150,7 @@
         """
         if not transaction.read_only:
             return await self._executor.open_exchange_at_primary(context), None
+        await context.group.refresh_samples(context.route)
         now = asyncio.get_running_loop().time()
         requirement = context.group.read_requirement(context.route, context.committed, now)
         pool = context.group.choose_read_member(requirement, now, excluded=frozenset(tried))
--- a/src/wigeonpoint/process/gateway/relay/__init__.py
+++ b/src/wigeonpoint/process/gateway/relay/__init__.py
@@ -11,15 +11,18 @@
 from wigeonpoint.process.gateway.relay._connector import RelayingConnector
 from wigeonpoint.process.gateway.relay._links import RelayLinks, RelayUnavailable
 from wigeonpoint.process.gateway.relay._messages import (
+    FetchSample,
     RelayBegin,
     RelayCheck,
     RelayReady,
     RelayRollback,
     RelayStatement,
+    SharedSample,
 )
 from wigeonpoint.process.gateway.relay._service import RelayService
 
 __all__ = [
+    "FetchSample",
     "RelayBegin",
     "RelayCheck",
     "RelayLinks",
@@ -29,5 +32,6 @@
     "RelayStatement",
     "RelayUnavailable",
     "RelayedConnection",
+    "SharedSample",
     "RelayingConnector",
 ]
--- a/src/wigeonpoint/process/gateway/relay/_connector.py
+++ b/src/wigeonpoint/process/gateway/relay/_connector.py
@@ -9,9 +9,15 @@
 from wigeonpoint.connection.session import MemberConnection, MemberConnector, MemberUnreachable
 from wigeonpoint.errors import NotRun, OutcomeUnknown
 from wigeonpoint.process.gateway._member_sharing import MemberSharing
+from wigeonpoint.process.gateway._positions import PositionSample
 from wigeonpoint.process.gateway.relay._connection import RelayedConnection
 from wigeonpoint.process.gateway.relay._links import RelayLinks, RelayUnavailable
-from wigeonpoint.process.gateway.relay._messages import RelayCheck, RelayReady
+from wigeonpoint.process.gateway.relay._messages import (
+    FetchSample,
+    RelayCheck,
+    RelayReady,
+    SharedSample,
+)
 from wigeonpoint.version.catalogue import MemberRecord
 
 CHECK_TIMEOUT_S = 0.25
@@ -19,6 +25,7 @@
 # member itself.
 CHECK_STAGGER_S = 0.05
 CHECKED_RELAYS = 2
+FETCH_TIMEOUT_S = 0.02  # then the read goes to the primary, which takes little longer
 
 
 class _Verdict(Enum):
@@ -91,6 +98,22 @@
         """Whether a connection to a member was opened in another way than it would be now."""
         return isinstance(connection, RelayedConnection) != self.relayed(record)
 
+    async def fetch(self, primary: MemberRecord) -> PositionSample | None:
+        """Fetches the newest position of a primary that its preferred relay knows."""
+        if not self.relayed(primary):
+            return None
+        asked_at = asyncio.get_running_loop().time()
+        message = FetchSample(primary.service, primary.id)
+        try:
+            shared = await self._links.request(
+                self._usable_relays(primary)[0], message, SharedSample, timeout=FETCH_TIMEOUT_S
+            )
+        except (RelayUnavailable, NotRun, OutcomeUnknown):
+            return None  # the read goes to the primary, whose answer brings a position
+        if shared.position is None:
+            return None
+        return PositionSample(asked_at - shared.age_s, shared.position)
+
     def _usable_relays(self, record: MemberRecord) -> list[str]:
         """Usable relays of a member; all of them if none is."""
         relays = self._sharing.relays(record, self._limit(record.service))
--- a/src/wigeonpoint/process/gateway/relay/_messages.py
+++ b/src/wigeonpoint/process/gateway/relay/_messages.py
@@ -25,6 +25,27 @@
     """The relay reaches the member."""
 
 
+@dataclass(frozen=True, slots=True)
+class FetchSample:
+    """Asks a relay of a primary for the newest position that it knows of it."""
+
+    group: str
+    member_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SharedSample:
+    """Answers `FetchSample`.
+
+    Attributes:
+        position: A position of the primary, None if the relay knows no recent one.
+        age_s: Seconds before the answer at which the statement that reported it was sent.
+    """
+
+    position: LogPosition | None = None
+    age_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class RelayTerms:
     """Where a statement runs, and on whose behalf.
--- a/src/wigeonpoint/process/gateway/relay/_service.py
+++ b/src/wigeonpoint/process/gateway/relay/_service.py
@@ -22,12 +22,14 @@
 from wigeonpoint.process.gateway._member_sharing import MemberSharing
 from wigeonpoint.process.gateway._primary_guard import PrimaryGuard
 from wigeonpoint.process.gateway.relay._messages import (
+    FetchSample,
     RelayBegin,
     RelayCheck,
     RelayReady,
     RelayRollback,
     RelayStatement,
     RelayTerms,
+    SharedSample,
 )
 from wigeonpoint.request.session import SessionStatement, TransactionState, Verb
 from wigeonpoint.version.catalogue import MemberRecord
@@ -113,6 +115,7 @@
     def register(self, dispatcher: PeerDispatcher) -> None:
         """Registers the handlers of the messages to relays."""
         dispatcher.register(RelayCheck, self._answer_check)
+        dispatcher.register(FetchSample, self._answer_sample)
         dispatcher.register(RelayBegin, self._answer_begin)
         dispatcher.register(RelayStatement, self._answer_statement)
         dispatcher.register(RelayRollback, self._answer_rollback)
@@ -176,6 +179,13 @@
             )
         return RelayReady()
 
+    async def _answer_sample(self, message: FetchSample) -> SharedSample:
+        group = self._group(message.group)
+        sample = group.newest_sample() if group.primary_id == message.member_id else None
+        if sample is None:
+            return SharedSample()
+        return SharedSample(sample.position, asyncio.get_running_loop().time() - sample.sent_at)
+
     async def _answer_begin(self, message: RelayBegin) -> MemberAnswer:
         key = message.terms.sender, message.terms.connection
         self._beginning[key] = False
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -17,6 +17,7 @@
 FLEET_SIZE = 24
 LIMIT = 16  # connections that a member accepts
 SETTLE_S = 2.0
+MAX_AGE_S = 1.5  # of the data that the route "aged" allows
 
 
 async def grow(cluster: GatewayCluster) -> list[str]:
@@ -152,6 +153,47 @@
                 assert (await reader.query("READ a")).reply.rows == ["v9"]
 
 
+class TestReplicaReads:
+    """Reads of a fleet in which an instance rarely asks a primary itself."""
+
+    async def test_instances_learn_positions_from_the_relays_of_the_primary(self) -> None:
+        """Guards against a primary that serves the aged reads of all instances."""
+        async with GatewayCluster() as cluster:
+            names = await grow(cluster)
+            writer = await cluster.caller(names[-1], "current")
+            for index in range(10):
+                for relay in relays_of(cluster, names[-1])[: relay_count(LIMIT)]:
+                    local = await cluster.caller(relay, "current")
+                    assert (await local.query("READ a")).served
+                assert (await writer.query(f"WRITE a v{index}")).served
+                await asyncio.sleep(0.05)
+            readers = [await cluster.caller(name, "aged") for name in names]
+            results = [await reader.query("READ a") for reader in readers]
+            assert all(result.served for result in results)
+            members = [(result.reply.proof or "").split(".")[0] for result in results]
+            assert members.count("m-chur") <= len(names) / 10
+
+    async def test_no_aged_read_is_older_than_allowed_while_replicas_lag(self) -> None:
+        """Guards against a shared position that counts as younger than it is."""
+        async with GatewayCluster() as cluster:
+            names = await grow(cluster)
+            writer = await cluster.caller(names[-1], "current")
+            for data_centre in ("stgallen", "sargans"):  # they receive nothing from now on
+                cluster.group.suspend(cluster.member(data_centre), 1000)
+            loop = asyncio.get_running_loop()
+            written: list[tuple[float, int]] = []
+            for number in range(30):
+                assert (await writer.query(f"WRITE a {number}")).served
+                written.append((loop.time(), number))
+                reader = await cluster.caller(names[number % len(names)], "aged")
+                began = loop.time()
+                result = await reader.query("READ a")
+                due = [value for at, value in written if at < began - MAX_AGE_S]
+                if result.served and due:
+                    assert int(result.reply.rows[0]) >= due[-1]
+                await asyncio.sleep(0.1)
+
+
 class TestTransactions:
     """Transactions that are bound to a connection of a relay."""
 
