Have one instance of a data centre follow the store's tables for the others

Cause: in fleets of more than eight, each instance followed three tables with a call of at most 8 s each, and every registration at the start answered all of these calls. The calls grew with the fleet, and with its square at a start.

Change: the instance that reads the store for its data centre follows the tables; the others copy newer ones from peers, as they do during an outage. While that instance does not answer or has no contact with the store, others follow it themselves, at first those that come first by name. A copy tells whether the store has been away recently, so that member entries which expired meanwhile stay in use everywhere until their members have registered again.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -76,6 +76,7 @@
             self._relay_links,
             own=settings.instance_id,
             clock=clock,
+            follows_store=lambda: self.peers.follows_store,
         )
         self._member_control = MemberControl(platform.connector)
         self.quorum_leases = QuorumLeases(self._member_control, lambda: self.view.groups, clock)
@@ -87,6 +88,7 @@
             members=self._member_control,
             quorum_leases=self.quorum_leases,
             clock=clock,
+            follows_store=lambda: self.peers.follows_store,
             on_lease_regained=self.view.retry_suspects,
             on_instances_changed=self._prewarm_if_restarted,
         )
@@ -222,6 +224,7 @@
             leaving=self._draining,
             in_contact=self.peers.reachable,
             vouched=self.quorum_leases.shared(),
+            follows_store=self.peers.has_store_contact,
         )
 
     def _close_sessions_while_isolated(self) -> None:
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from contextlib import suppress
 
 from wigeonpoint.events import Event, log_event
@@ -32,6 +33,7 @@
         links: Links to the relays of members.
         own: Name of this instance.
         clock: Gives seconds; it must also count the time for which the machine is suspended.
+        follows_store: Tells whether to follow the store, not only the copies of other instances.
     """
 
     def __init__(
@@ -43,6 +45,7 @@
         *,
         own: str,
         clock: Clock,
+        follows_store: Callable[[], bool],
     ) -> None:
         self._platform = platform
         self._data_centre = data_centre
@@ -61,8 +64,11 @@
         self._decoded_members: dict[str, tuple[VersionedRow, MemberRecord | None]] = {}
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._loaded_event = asyncio.Event()
-        self.operators = TableFeed(platform.store, platform.tables.operators, self._apply_operators)
-        self.members = TableFeed(platform.store, platform.tables.members, self._apply_members)
+        store, names = platform.store, platform.tables
+        self.operators = TableFeed(
+            store, names.operators, self._apply_operators, follows=follows_store
+        )
+        self.members = TableFeed(store, names.members, self._apply_members, follows=follows_store)
 
     @property
     def loaded(self) -> bool:
--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -14,6 +14,7 @@
 INITIAL_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 0.4  # entries that were not renewed expire two seconds after the store returns
 STABLE_AFTER_S = 2.0
+FOLLOW_CHECK_INTERVAL_S = 0.25
 # The feed waits this long after a change, so that one call fetches changes in quick succession, as
 # when many instances start.
 CHANGE_BATCH_S = 0.1
@@ -28,6 +29,7 @@
         store: The store.
         table: Name of the table.
         on_change: Called after every change of the copy.
+        follows: Tells whether to follow the store; while it does not, others' copies are adopted.
         random_source: Source of the jitter between attempts.
     """
 
@@ -37,11 +39,13 @@
         table: str,
         on_change: OnChange,
         *,
+        follows: Callable[[], bool] = lambda: True,
         random_source: random.Random | None = None,
     ) -> None:
         self._store = store
         self._table = table
         self._on_change = on_change
+        self._follows = follows
         self._random = random_source or random.Random()
         self._rows: dict[str, VersionedRow] = {}
         self._version = 0
@@ -93,18 +97,21 @@
         if self._task is not None:
             self._task.cancel()
 
-    def adopt(self, read: RowsRead, changed: int) -> bool:
+    def adopt(self, read: RowsRead, changed: int, *, stable: bool = True) -> bool:
         """Adopts the copy of another instance if that one knows a later change.
 
         Args:
             read: The copy.
             changed: Store version of the last change that it knows.
+            stable: Whether the store has answered the other instance without a recent failure.
 
         Returns:
             Whether it was adopted.
         """
         if self._loaded and changed <= self._changed:
             return False
+        if not stable:
+            self._recovered_at = asyncio.get_running_loop().time()
         self._changed = max(self._changed, changed)
         if self._loaded and read.version < self._version:
             # The other instance has applied single rows that its own feed has not reported yet.
@@ -140,6 +147,9 @@
     async def _follow(self) -> None:
         read_whole_table = not self._loaded
         while True:
+            if self._loaded and not self._follows():
+                await asyncio.sleep(FOLLOW_CHECK_INTERVAL_S)
+                continue
             try:
                 read_whole_table = await self._poll_once(read_whole_table)
             except StoreUnavailable as error:
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -62,6 +62,7 @@
         members: Control calls to members.
         quorum_leases: Confirmations of primaries by the members of their groups.
         clock: Gives seconds; it must also count the time for which the machine is suspended.
+        follows_store: Tells whether to follow the store, not only the copies of other instances.
         on_lease_regained: Called when the lease becomes valid.
         on_instances_changed: Called when instances have been registered or deregistered.
     """
@@ -76,6 +77,7 @@
         members: MemberControl,
         quorum_leases: QuorumLeases,
         clock: Clock,
+        follows_store: Callable[[], bool] = lambda: True,
         on_lease_regained: Callable[[], None] = lambda: None,
         on_instances_changed: Callable[[], None] = lambda: None,
     ) -> None:
@@ -99,7 +101,7 @@
         self._store_latency_s = 0.0
         self._handovers: dict[str, Handover] = {}
         self.lease = Lease(clock)
-        self.feed = TableFeed(store, CONTROL_TABLE, self._apply_rows)
+        self.feed = TableFeed(store, CONTROL_TABLE, self._apply_rows, follows=follows_store)
 
     @property
     def name(self) -> str:
@@ -131,6 +133,13 @@
         """Whether the instance was registered when this process started."""
         return self.registered and not self._registration_written
 
+    @property
+    def reads_for_others(self) -> bool:
+        """Whether this instance reads the store on behalf of its data centre, or of itself only."""
+        if len(self._instances) <= FULL_MESH_LIMIT or not self.registered:
+            return True
+        return store_reader(self._name, self._instances) == self._name
+
     @property
     def _lease_renewed_recently(self) -> bool:
         """Whether the store or the peers renewed the lease recently."""
@@ -348,8 +357,7 @@
         if read_at != self._read_delay_chosen_for:
             self._read_delay_chosen_for = read_at
             self._read_delay_s = self._random.uniform(STORE_READ_EARLIEST_S, STORE_READ_LATEST_S)
-        small = len(self._instances) <= FULL_MESH_LIMIT or not self.registered
-        if small or store_reader(self._name, self._instances) == self._name:
+        if self.reads_for_others:
             return STORE_READ_AFTER_S
         latest = (
             LEASE_DURATION_S - STORE_LATENCY_FACTOR * self._store_latency_s - STORE_READ_MARGIN_S
--- a/src/wigeonpoint/process/gateway/control/_lease.py
+++ b/src/wigeonpoint/process/gateway/control/_lease.py
@@ -85,6 +85,11 @@
         ]
         return max([self._store_read_at, *peer_reads])
 
+    @property
+    def own_store_read_age_s(self) -> float:
+        """Seconds since this instance itself last read the store."""
+        return self._clock() - self._store_read_at
+
     def store_read_age_s(self) -> float:
         """Seconds since the latest store read, by this instance or by a peer."""
         return self._clock() - self.store_read_at()
--- a/src/wigeonpoint/process/gateway/control/_messages.py
+++ b/src/wigeonpoint/process/gateway/control/_messages.py
@@ -65,6 +65,7 @@
         knows_sender: Whether it knows the sender of the ping as a registered instance.
         in_contact: Registered instances that it reaches.
         vouched: Primaries with a valid quorum lease, by group.
+        follows_store: Whether it follows the store's tables itself and the store answers it.
     """
 
     name: str
@@ -75,6 +76,7 @@
     knows_sender: bool = False
     in_contact: list[str] = field(default_factory=list)
     vouched: dict[str, ConfirmedPrimary] = field(default_factory=dict)
+    follows_store: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,11 +94,14 @@
         rows: All rows.
         version: Store version up to which the copy is complete, 0 if there is no copy.
         changed: Version of the last known change of the table.
+        stable: Whether the store has answered the sender without a recent failure. After a failure,
+            rows may be missing that are written again soon.
     """
 
     rows: list[TableRow]
     version: int
     changed: int
+    stable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -44,6 +44,7 @@
 FETCH_TIMEOUT_S = 0.6
 BEHIND_PING_LIMIT = 2  # a working feed of the own brings a change within fewer pings
 STATE_MAX_AGE_S = 0.8
+STORE_CONTACT_S = 2 * LEASE_DURATION_S  # an instance that follows the store reads it more often
 # A peer's view of primaries is used for two ping intervals and this margin.
 VIEW_AGE_MARGIN_S = 0.05
 
@@ -152,6 +153,28 @@
         """The last state of a peer, None if it has not answered for `STATE_MAX_AGE_S`."""
         return self._state(name, STATE_MAX_AGE_S)
 
+    @property
+    def follows_store(self) -> bool:
+        """Whether this instance follows the store's tables itself.
+
+        In a large fleet, one instance of each data centre does, and the others copy what it has.
+        They follow the store as well while that one does not answer or does not reach the store,
+        unless an instance that precedes them by name already does.
+        """
+        control = self._control
+        if control.reads_for_others:
+            return True
+        trusted = {store_reader(control.name, control.instances)}
+        trusted.update(name for name in self.watched if name < control.name)
+        states = [self.state(name) for name in trusted]
+        return not any(state is not None and state.follows_store for state in states)
+
+    @property
+    def has_store_contact(self) -> bool:
+        """Whether this instance follows the store's tables and the store answers it."""
+        contact = self._control.lease.own_store_read_age_s < STORE_CONTACT_S
+        return contact and self.follows_store
+
     def unreachable_from_all_peers(self, name: str) -> bool:
         """Whether no peer that answers reaches an instance."""
         states = [self.state(peer) for peer in self._control.peers if peer != name]
@@ -324,7 +347,8 @@
             VersionedRow(table, row.key, row.value.encode("latin-1"), row.version)
             for row in copy.rows
         ]
-        if feed.adopt(RowsRead(rows, copy.version), copy.changed):
+        read = RowsRead(rows, copy.version)
+        if feed.adopt(read, copy.changed, stable=copy.stable):
             log_event(Event.TABLE_COPIED, table=table, address=address, version=copy.version)
 
     async def _answer_ping(self, ping: GatewayPing) -> GatewayState:
@@ -340,7 +364,7 @@
             TableRow(row.key, row.value.decode("latin-1"), row.version)
             for row in feed.rows.values()
         ]
-        return TableCopy(rows, feed.version, feed.changed)
+        return TableCopy(rows, feed.version, feed.changed, feed.stable)
 
 
 def store_read_age_s(control: ControlState) -> float | None:
--- a/tests/gateway/_cluster.py
+++ b/tests/gateway/_cluster.py
@@ -255,6 +255,12 @@
                 return result, loop.time() - began
             await asyncio.sleep(0.02)
 
+    async def stop_member_reports(self) -> None:
+        """Has the members write their rows no longer."""
+        if self._report_task is not None:
+            self._report_task.cancel()
+            await self._report_task
+
     async def _report_members(self) -> None:
         with suppress(asyncio.CancelledError):
             while True:
--- a/tests/gateway/test_watch_set.py
+++ b/tests/gateway/test_watch_set.py
@@ -9,7 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.gateway._cluster import DATA_CENTRES, GatewayCluster
+from tests.gateway._cluster import DATA_CENTRES, ROUTES, SERVICE, GatewayCluster
+from tests.gateway._platform import NAMES
 from wigeonpoint.process.gateway._table_feed import FEED_WAIT_S
 from wigeonpoint.process.gateway.control import CONTROL_TABLE, FULL_MESH_LIMIT, watch_set
 from wigeonpoint.process.gateway.control._control_state import STORE_READ_AFTER_S
@@ -34,6 +35,12 @@
     }
 
 
+def readers(cluster: GatewayCluster) -> list[str]:
+    """The instances that read the store on behalf of their data centres."""
+    instances = next(iter(cluster.nodes.values())).gateway.control.instances
+    return sorted({store_reader(name, instances) for name in instances})
+
+
 class TestWatchSet:
     """Which instances an instance pings."""
 
@@ -168,6 +175,51 @@
             for node in cluster.nodes.values():
                 assert node.gateway.control.lease_valid
 
+    async def test_store_calls_do_not_grow_with_the_fleet(self) -> None:
+        """Guards against tables that every instance follows for itself."""
+        async with GatewayCluster() as cluster:
+            await self.grow(cluster)
+            await asyncio.sleep(FEED_WAIT_S)  # calls that were under way have ended
+            before = cluster.store.calls
+            await asyncio.sleep(10.0)
+            calls_of_reader = 3 * (10.0 / FEED_WAIT_S + 1) + 10.0 / STORE_READ_AFTER_S
+            assert cluster.store.calls - before <= len(DATA_CENTRES) * calls_of_reader * 1.2
+
+    @pytest.mark.parametrize("fault", ["none", "killed", "cut off"])
+    async def test_configuration_reaches_all_instances(self, fault: str) -> None:
+        """Guards against instances that depend on one that does not know the newest tables."""
+        async with GatewayCluster() as cluster:
+            await self.grow(cluster)
+            await asyncio.sleep(FEED_WAIT_S)
+            for name in readers(cluster):
+                if fault == "killed":
+                    cluster.kill(name)
+                elif fault == "cut off":
+                    cluster.nodes[name].platform.store.cut_off = True
+            cluster.configure({**ROUTES, "added": (SERVICE, "CURRENT")})
+            await asyncio.sleep(3.0)
+            behind = [
+                name
+                for name, node in cluster.nodes.items()
+                if "added" not in node.gateway.view.catalogue().routes
+            ]
+            assert not behind
+
+    async def test_member_entries_that_expired_in_an_outage_stay_in_use_everywhere(self) -> None:
+        """Guards against instances that copy a list in which running members are missing."""
+        async with GatewayCluster() as cluster:
+            await self.grow(cluster)
+            await asyncio.sleep(FEED_WAIT_S)
+            await cluster.stop_member_reports()
+            cluster.store.down = True
+            await asyncio.sleep(2.0)
+            for member in cluster.group.members.values():
+                cluster.store.drop(NAMES.members, member.record.id)
+            cluster.store.down = False
+            await asyncio.sleep(1.5)  # running members have registered again within two seconds
+            for node in cluster.nodes.values():
+                assert len(list(node.gateway.view.group(SERVICE).pools)) == len(DATA_CENTRES)
+
     async def test_instances_share_quorum_leases(self) -> None:
         """Guards against members that every instance of a large fleet asks for reports."""
         async with GatewayCluster() as cluster:
