Watch fewer instances of other data centres

Change: an instance watches four instances of other data centres in all, at least one and at most two in each.

--- a/src/wigeonpoint/process/gateway/control/_watch_set.py
+++ b/src/wigeonpoint/process/gateway/control/_watch_set.py
@@ -17,8 +17,10 @@
 # store.
 FULL_MESH_LIMIT = 8
 LOCAL_WATCH_COUNT = 2  # in the own data centre
-# In each other data centre; two, so that one failure does not hide a network partition.
-REMOTE_WATCH_COUNT = 2
+# In all other data centres together, where each has at least one; pings between data centres are
+# charged, and with several, one failure does not hide a network partition.
+REMOTE_WATCH_COUNT = 4
+MAX_REMOTE_WATCH_COUNT = 2  # in one other data centre
 # First instances by name, which take over if the coordinator is lost.
 BACKUP_COORDINATORS = 1
 
@@ -41,9 +43,11 @@
         watched.add(coordinator)
     watched.add(store_reader(own, instances))
     own_data_centre = instances[own].data_centre
-    for data_centre in {peer.data_centre for peer in instances.values()}:
+    data_centres = {peer.data_centre for peer in instances.values()}
+    for data_centre in data_centres:
         names = [name for name in others if instances[name].data_centre == data_centre]
-        count = LOCAL_WATCH_COUNT if data_centre == own_data_centre else REMOTE_WATCH_COUNT
+        local = data_centre == own_data_centre
+        count = LOCAL_WATCH_COUNT if local else _remote_watch_count(len(data_centres) - 1)
         watched.update(_next_in_ring(own, names, count))
     return frozenset(watched & others)
 
@@ -55,6 +59,11 @@
     return min(names, key=_ring_position)
 
 
+def _remote_watch_count(other_data_centres: int) -> int:
+    """Number of instances to watch in each other data centre."""
+    return min(max(REMOTE_WATCH_COUNT // other_data_centres, 1), MAX_REMOTE_WATCH_COUNT)
+
+
 def _next_in_ring(own: str, names: list[str], count: int) -> list[str]:
     """The names that follow an instance's own name on the ring.
 
--- a/tests/gateway/test_watch_set.py
+++ b/tests/gateway/test_watch_set.py
@@ -56,6 +56,10 @@
         for own in instances:
             watched = watch_set(own, instances, coordinator="dc0-0000")
             assert len(watched) <= 2 * data_centres + 2
+            elsewhere_count = sum(
+                instances[name].data_centre != instances[own].data_centre for name in watched
+            )
+            assert elsewhere_count <= max(4, data_centres - 1) + 2
             assert own not in watched
             elsewhere = {instances[name].data_centre for name in watched}
             assert elsewhere >= {peer.data_centre for peer in instances.values()} - {
