Keep watching a lease that was never renewed

Cause: the log line of a lost lease converted its age to milliseconds before it was limited. The lease of the first instance of a fleet is valid while it is alone; when others register before it has read the store, its age is infinite, the conversion raised OverflowError, and the task that watches the lease ended. The instance never counted its lease as settled again, and replaced no primary until it was restarted.

Change: the age is limited before it is converted.

Test: test_lease_that_was_never_renewed_is_watched_on failed before. Seen when a change of the lease's timing made a partition test promote nobody.

--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -46,6 +46,7 @@
 LEASE_CHECK_INTERVAL_S = 0.02
 LOADING_CHECK_INTERVAL_S = 0.01
 LEASE_WATCH_INTERVAL_S = 0.05
+MAX_LOGGED_AGE_S = 1000.0  # a lease that was never renewed is infinitely old
 REGISTRATION_INTERVAL_S = 0.3
 # Nothing waits for a registered instance to write its row again, and each store call costs money.
 RENEWAL_RETRY_DELAY_S = 1.0
@@ -387,7 +388,7 @@
         self._lease_valid_since = asyncio.get_running_loop().time() if regained else None
         log_event(
             Event.LEASE_REGAINED if regained else Event.LEASE_LOST,
-            age_ms=min(int(self.lease.age_s(self.peers) * 1000), 1_000_000),
+            age_ms=int(min(self.lease.age_s(self.peers), MAX_LOGGED_AGE_S) * 1000),
             registered=self.registered,
             in_contact=len(self.lease.reachable(self.peers)),
             peers=len(self.peers),
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -167,6 +167,22 @@
             await asyncio.sleep(1.0)
             assert gateway.ready
 
+    async def test_lease_that_was_never_renewed_is_watched_on(self) -> None:
+        """Guards against a watch that ends, after which the instance replaces no primary.
+
+        The first instance of a fleet has a lease alone; it loses it when the others register.
+        """
+        async with GatewayCluster() as cluster:
+            control = cluster.nodes["g-chur"].gateway.control
+            cluster.isolate("chur")
+            control.lease._store_read_at = float("-inf")
+            control.lease._answers.clear()
+            await asyncio.sleep(0.1)
+            assert control.lease_valid_since is None
+            cluster.network.heal()
+            await asyncio.sleep(1.0)
+            assert control.lease_valid_since is not None
+
     async def test_isolated_half_of_the_instances_promotes_nobody_on_its_return(self) -> None:
         """Guards against a false promotion decided on observations from a partition."""
         async with GatewayCluster() as cluster:
