Split the member pool, the control state and the statement executor by job

Change: the connections of a pool, the registration of an instance, the renewal of its lease, the choice of members for statements and the metrics of statements are modules of their own. The two import circles of the gateway (executor and hedged read; gateway, metrics, session service and shutdown) are gone. The task that renews the lease sleeps until it is due instead of looking every 20 ms.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -14,6 +14,7 @@
 from wigeonpoint.process.gateway._session_service import SessionService
 from wigeonpoint.process.gateway._settings import GatewaySettings
 from wigeonpoint.process.gateway._shutdown import BALANCER_DETECTION_S, GatewayShutdown
+from wigeonpoint.process.gateway._statement_router import StatementRouter
 from wigeonpoint.process.gateway._suspension import Clock
 from wigeonpoint.process.gateway._transactions import TransactionRunner
 from wigeonpoint.process.gateway.control import (
@@ -100,13 +101,13 @@
             lambda: self.view.catalogue().transaction_idle_s,
         )
         self.relay.register(self._dispatcher)
-        self.executor = StatementExecutor(self.control)
-        self.transactions = TransactionRunner(self.executor)
+        self.router = StatementRouter(self.control)
+        self.transactions = TransactionRunner(self.router)
         self.sessions = SessionService(
             self.view.wait_until_loaded,
             self.view.catalogue,
             self.view.group,
-            self.executor,
+            StatementExecutor(self.router),
             self.transactions,
         )
         self.peers = self._make_peers()
--- a/src/wigeonpoint/process/gateway/_hedged_read.py
+++ b/src/wigeonpoint/process/gateway/_hedged_read.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from wigeonpoint.connection.session import MemberAnswer, MemberConnectionLost, MemberFault
 from wigeonpoint.errors import NotRun, ResultCode
@@ -12,11 +12,9 @@
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway._replies import reply_for_answer, reply_for_error
 from wigeonpoint.process.gateway._statement_context import INITIAL_RETRY_PAUSE_S, StatementContext
+from wigeonpoint.process.gateway._statement_router import StatementRouter
 from wigeonpoint.request.session import Refusal, Reply, refuse_statement
 
-if TYPE_CHECKING:
-    from wigeonpoint.process.gateway._executor import StatementExecutor
-
 MAX_PARALLEL_ATTEMPTS = 2
 # How long an abandoned attempt may still get its answer before its connection is closed.
 ABANDONED_WAIT_S = 0.5
@@ -28,12 +26,12 @@
     """One read and its attempts at different members; the first usable answer wins.
 
     Args:
-        executor: Executor that opens the exchanges.
+        router: Opens the exchanges.
         context: The read.
     """
 
-    def __init__(self, executor: StatementExecutor, context: StatementContext) -> None:
-        self._executor = executor
+    def __init__(self, router: StatementRouter, context: StatementContext) -> None:
+        self._router = router
         self._context = context
         self._tried: set[str] = set()
         self._attempts: dict[asyncio.Task[MemberAnswer | NotRun], MemberPool] = {}
@@ -59,7 +57,7 @@
         finally:
             for task, pool in self._attempts.items():
                 wait_s = abandoned_wait_s(pool)
-                self._executor.run_in_background(_abandon(task, pool, wait_s=wait_s))
+                self._router.run_in_background(_abandon(task, pool, wait_s=wait_s))
 
     async def _start_attempt(self) -> bool:
         if len(self._attempts) >= MAX_PARALLEL_ATTEMPTS:
@@ -75,7 +73,7 @@
             return False
         if pool is None or pool.record.id == context.group.primary_id:
             try:
-                pool = await self._executor.wait_for_primary(context)
+                pool = await self._router.wait_for_primary(context)
             except NotRun as error:
                 self._last_reply = reply_for_error(error)
                 return False
@@ -96,21 +94,21 @@
             late_s = max(pool.latency.late_after_s, MIN_LATE_S)
             if now - sent_at >= late_s and pool.overtaken(sent_at):
                 del self._attempts[task]
-                self._executor.run_in_background(_abandon(task, pool, wait_s=OVERTAKEN_WAIT_S))
+                self._router.run_in_background(_abandon(task, pool, wait_s=OVERTAKEN_WAIT_S))
                 self._free_retries += 1
 
     def _may_retry(self) -> bool:
         if self._free_retries:
             self._free_retries -= 1
             return True
-        return self._executor.budgets.of(self._context.route.name).take()
+        return self._router.budgets.of(self._context.route.name).take()
 
     async def _attempt(
         self, pool: MemberPool, requirement: ReadRequirement
     ) -> MemberAnswer | NotRun:
         context = self._context
         try:
-            exchange = await self._executor.open_exchange(context, pool)
+            exchange = await self._router.open_exchange(context, pool)
         except NotRun as error:
             return error
         primary = pool.record.id == context.group.primary_id
@@ -132,8 +130,8 @@
         finally:
             pool.release(exchange.connection)
         if answer.fault is not None:
-            self._executor.note_fault(context, pool, answer, after)
-        elif primary and not await self._executor.confirm(context, pool):
+            self._router.note_fault(context, pool, answer, after)
+        elif primary and not await self._router.confirm(context, pool):
             return NotRun(ResultCode.NO_PRIMARY, "the primary may have been replaced")
         return answer
 
--- a/src/wigeonpoint/process/gateway/_member_pool.py
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import Callable
 
 from wigeonpoint.connection.session import (
@@ -21,8 +20,8 @@
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process._schedule import QueueEntry, RankedSchedule
 from wigeonpoint.process.gateway._connection_quota import ConnectionQuota
+from wigeonpoint.process.gateway._connection_set import ConnectionSet
 from wigeonpoint.request import Rank
-from wigeonpoint.request.session import TransactionState
 from wigeonpoint.version.catalogue import MemberRecord
 
 CONNECT_TIMEOUT_S = 0.6  # a member accepts a connection only when it has a free slot
@@ -30,7 +29,6 @@
 # At an unreachable member, a statement unanswered for this long is abandoned.
 SILENT_CONNECTION_S = 0.2
 MIN_OVERDUE_S = 0.1  # an answer is overdue only after this long, however fast the member usually is
-SPARE_IDLE_S = 0.5  # idle connections above the regular limit are closed after this
 MIN_RETRY_MS = 20
 ROLLBACK_TIMEOUT_S = 0.5
 HOLD_WEIGHT = 0.1  # of the newest value in the smoothed time for which a connection is held
@@ -63,13 +61,10 @@
     ) -> None:
         self._record = record
         self._connector = connector
-        self._superseded = superseded
         self._quota = ConnectionQuota(share=share, limit=limit)
-        self._idle: deque[PooledConnection] = deque()
-        self._in_use: set[PooledConnection] = set()
+        self._connections = ConnectionSet(superseded)
         self._opening: set[asyncio.Task[None]] = set()
         self._schedule = RankedSchedule()
-        self._waiting: dict[asyncio.Future[None], QueueEntry] = {}
         self._granted: dict[asyncio.Future[None], PooledConnection] = {}
         self._closed = False
         self._mean_hold_s = INITIAL_HOLD_S
@@ -87,7 +82,7 @@
     @property
     def in_use(self) -> int:
         """Number of connections granted to statements or transactions."""
-        return len(self._in_use)
+        return self._connections.in_use
 
     @property
     def waiting(self) -> int:
@@ -97,17 +92,12 @@
     @property
     def open(self) -> int:
         """Number of open connections."""
-        return len(self._idle) + len(self._in_use)
-
-    @property
-    def closed(self) -> bool:
-        """Whether the pool has been retired."""
-        return self._closed
+        return len(self._connections)
 
     def update(self, record: MemberRecord) -> None:
         """Adopts the member's new record; closes idle connections if the member has restarted."""
         if record.born_ms != self._record.born_ms:
-            self._close_idle()
+            self._connections.close_idle()
         self._record = record
 
     async def acquire(
@@ -127,7 +117,7 @@
         if self._closed:
             raise self._unreachable_error()
         if not self._schedule:
-            connection = self._take_idle(session)
+            connection = self._connections.take(session)
             if connection is not None:
                 return connection
         self._refuse_if_too_late(rank, caller, deadline)
@@ -135,17 +125,16 @@
 
     def release(self, connection: PooledConnection) -> None:
         """Returns a connection to the pool; closes it if it is lost or still in a transaction."""
-        if connection not in self._in_use:
+        if not self._connections.uses(connection):
             return
-        self._in_use.discard(connection)
         now = asyncio.get_running_loop().time()
-        if connection.closed or self._closed or connection.state is not TransactionState.IDLE:
+        held_s = now - connection.idle_since
+        if self._closed:
             connection.close()
+        if not self._connections.put_back(connection):
             self._open_for_waiting()
             return
-        self._mean_hold_s += HOLD_WEIGHT * (now - connection.idle_since - self._mean_hold_s)
-        connection.idle_since = now
-        self._idle.append(connection)
+        self._mean_hold_s += HOLD_WEIGHT * (held_s - self._mean_hold_s)
         self._grant_idle()
 
     async def roll_back(self, connection: PooledConnection) -> None:
@@ -162,7 +151,7 @@
     def retire(self) -> None:
         """Grants no further connections; those in use are closed when they are released."""
         self._closed = True
-        self._close_idle()
+        self._connections.close_idle()
         self._fail_waiting(self._unreachable_error())
 
     def prewarm(self, connections: int) -> None:
@@ -205,47 +194,20 @@
 
     def close_spare_connections(self) -> None:
         """Closes idle connections that are superseded, or unneeded and above the regular limit."""
-        self._close_superseded()
-        now = asyncio.get_running_loop().time()
-        while self.open > self._quota.regular_limit and self._idle:
-            if now - self._idle[0].idle_since < SPARE_IDLE_S:
-                return
-            self._idle.popleft().close()
+        self._connections.close_superseded()
+        self._connections.close_spare(self._quota.regular_limit)
 
     def expected_wait_s(self, rank: Rank, caller: str) -> float:
         """Expected seconds until a new request would get a connection."""
-        if self._idle:
+        if self._connections.idle:
             return 0.0
         connections = max(self.open, 1)
         return self._schedule.wait_work(rank, caller) * self._mean_hold_s / connections
 
-    def _take_idle(self, session: int | None) -> PooledConnection | None:
-        while self._idle:
-            connection = self._pop_preferred(session)
-            if connection.closed:
-                connection.close()
-                continue
-            self._mark_in_use(connection)
-            return connection
-        return None
-
-    def _pop_preferred(self, session: int | None) -> PooledConnection:
-        if session is not None:
-            for connection in reversed(self._idle):
-                if connection.last_session == session:
-                    self._idle.remove(connection)
-                    return connection
-        return self._idle.pop()
-
-    def _mark_in_use(self, connection: PooledConnection) -> None:
-        # While the connection is in use, this is the time at which it was granted.
-        connection.idle_since = asyncio.get_running_loop().time()
-        self._in_use.add(connection)
-
     def _refuse_if_too_late(self, rank: Rank, caller: str, deadline: float) -> None:
         now = asyncio.get_running_loop().time()
         wait_s = self.expected_wait_s(rank, caller)
-        if self._in_use and now + wait_s > deadline:
+        if self.in_use and now + wait_s > deadline:
             raise self._deadline_error(wait_s)
         if self.open:
             return
@@ -273,14 +235,13 @@
         return self._granted.pop(entry.granted)
 
     def _grant_idle(self) -> None:
-        while self._schedule and self._idle:
-            connection = self._take_idle(None)
+        while self._schedule:
+            connection = self._connections.take(None)
             if connection is None:
                 break
             entry = self._schedule.pop()
             if entry is None or entry.granted.done():
-                self._in_use.discard(connection)
-                self._idle.append(connection)
+                self._connections.put_back(connection)
                 continue
             self._granted[entry.granted] = connection
             entry.granted.set_result(None)
@@ -289,12 +250,7 @@
     def _overdue_connections(self) -> int:
         """Counts connections whose answer is probably lost; others may be opened in their place."""
         overdue_s = max(self.latency.late_after_s, MIN_OVERDUE_S)
-        sent_before = asyncio.get_running_loop().time() - overdue_s
-        return sum(
-            1
-            for connection in self._in_use
-            if connection.waiting_since is not None and connection.waiting_since < sent_before
-        )
+        return len(self._connections.waiting_longer_than(overdue_s))
 
     @property
     def _answered_recently(self) -> bool:
@@ -302,12 +258,6 @@
         now = asyncio.get_running_loop().time()
         return answered_at is not None and now - answered_at <= RECENT_ANSWER_S
 
-    def _close_superseded(self) -> None:
-        for connection in list(self._idle):
-            if self._superseded(connection.member_connection):
-                self._idle.remove(connection)
-                connection.close()
-
     def _open_for_waiting(self) -> None:
         if self._closed:
             return
@@ -353,11 +303,10 @@
         self._quota.note_accepted()
         self.opened += 1
         connection = PooledConnection(member_connection, self._record)
-        connection.idle_since = asyncio.get_running_loop().time()
         if self._closed:
             connection.close()
         else:
-            self._idle.append(connection)
+            self._connections.add(connection)
 
     def _note_unreachable(self, reason: str) -> None:
         if self.health.available:
@@ -369,9 +318,10 @@
             )
         self.health.note_unreachable()
         # Connections opened before the fault may never get an answer.
-        self._close_idle()
-        self._close_silent()
-        if not self._in_use:
+        self._connections.close_idle()
+        for connection in self._connections.waiting_longer_than(SILENT_CONNECTION_S):
+            connection.close()
+        if not self.in_use:
             self._fail_waiting(self._unreachable_error())
 
     def _note_refusal(self, fault: MemberFault) -> None:
@@ -387,21 +337,6 @@
         if not self.open:
             self._fail_waiting(self._unreachable_error())
 
-    def _close_silent(self) -> None:
-        """Closes connections on which an unreachable member has not answered for too long."""
-        now = asyncio.get_running_loop().time()
-        for connection in list(self._in_use):
-            if (
-                connection.waiting_since is not None
-                and now - connection.waiting_since >= SILENT_CONNECTION_S
-            ):
-                connection.close()
-
-    def _close_idle(self) -> None:
-        for connection in self._idle:
-            connection.close()
-        self._idle.clear()
-
     def _expire_request(self, entry: QueueEntry) -> None:
         if self._schedule.remove(entry) and not entry.granted.done():
             entry.granted.set_exception(self._deadline_error(self._mean_hold_s))
--- a/src/wigeonpoint/process/gateway/_metrics.py
+++ b/src/wigeonpoint/process/gateway/_metrics.py
@@ -2,58 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus import Gauge, Registry, render
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
 from wigeonpoint.process._metrics_handler import MetricsHandler
-from wigeonpoint.request.session import Refusal
-from wigeonpoint.version.catalogue import DatabaseRoute
-
-if TYPE_CHECKING:
-    from wigeonpoint.process.gateway._gateway import Gateway
+from wigeonpoint.process.gateway._gateway import Gateway
 
 METRICS_PATH = "/metrics"
-# Seconds; around the objectives and the time limits that routes usually have.
-LATENCY_BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 1.5, 3.0, 5.0]
-
-
-class StatementMetrics:
-    """Counts answered statements and measures how long they took."""
-
-    def __init__(self) -> None:
-        self.registry = Registry()
-        self._latency = Histogram(
-            "wigeonpoint_statement_seconds",
-            "Time from a statement's arrival to its answer, by rank.",
-            registry=self.registry,
-            buckets=LATENCY_BUCKETS_S,
-        )
-        self._statements = Counter(
-            "wigeonpoint_statements_total",
-            "Answered statements by route, rank and outcome.",
-            registry=self.registry,
-        )
-
-    def record(self, route: DatabaseRoute | None, refusal: Refusal | None, seconds: float) -> None:
-        """Counts an answered statement.
-
-        Args:
-            route: The route of its session, None if it has been removed.
-            refusal: Why there was no result, or None.
-            seconds: Time from its arrival to its answer.
-        """
-        rank = str(route.rank) if route is not None else "none"
-        self._latency.observe({"rank": rank}, seconds)
-        self._statements.inc(
-            {
-                "route": route.name if route is not None else "none",
-                "rank": rank,
-                "outcome": refusal.name.lower() if refusal is not None else "done",
-            }
-        )
 
 
 class GatewayMetrics:
@@ -80,6 +36,7 @@
         registry = Registry()
         self._add_state(registry)
         self._add_members(registry)
+        self._add_relay(registry)
         self._add_retries(registry)
         statement_metrics, _ = render(self._gateway.sessions.metrics.registry, accept)
         state_metrics, headers = render(registry, accept)
@@ -139,8 +96,26 @@
                 available.set(labels, float(pool.health.available))
                 latency.set(labels, pool.latency.mean_s)
 
+    def _add_relay(self, registry: Registry) -> None:
+        relay = self._gateway.relay
+        text = "Connections that this instance holds as a relay, by member and use."
+        connections = Gauge("wigeonpoint_relay_connections", text, registry=registry)
+        text = "Connections opened and refused so far as a relay, by member."
+        opened = Gauge("wigeonpoint_relay_connects_total", text, registry=registry)
+        text = "Statements that wait at this relay for a connection, by member."
+        waiting = Gauge("wigeonpoint_relay_waiting", text, registry=registry)
+        text = "Open transactions of other instances' callers."
+        transactions = Gauge("wigeonpoint_relay_transactions", text, registry=registry)
+        transactions.set({}, relay.transactions)
+        for member_id, pool in relay.pools.items():
+            connections.set({"member": member_id, "use": "open"}, pool.open)
+            connections.set({"member": member_id, "use": "in_use"}, pool.in_use)
+            opened.set({"member": member_id, "result": "opened"}, pool.opened)
+            opened.set({"member": member_id, "result": "refused"}, pool.refused)
+            waiting.set({"member": member_id}, pool.waiting)
+
     def _add_retries(self, registry: Registry) -> None:
-        budgets = self._gateway.executor.budgets
+        budgets = self._gateway.router.budgets
         text = "Retries that the budgets of the routes allowed or refused."
         retries = Gauge("wigeonpoint_retries_total", text, registry=registry)
         retries.set({"result": "allowed"}, budgets.retries)
--- a/src/wigeonpoint/process/gateway/_session_service.py
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -20,8 +20,8 @@
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._executor import StatementExecutor
 from wigeonpoint.process.gateway._group import Group
-from wigeonpoint.process.gateway._metrics import StatementMetrics
 from wigeonpoint.process.gateway._statement_context import StatementContext
+from wigeonpoint.process.gateway._statement_metrics import StatementMetrics
 from wigeonpoint.process.gateway._transactions import TransactionRunner
 from wigeonpoint.request import Access
 from wigeonpoint.request.session import (
--- a/src/wigeonpoint/process/gateway/_transactions.py
+++ b/src/wigeonpoint/process/gateway/_transactions.py
@@ -16,11 +16,11 @@
 from wigeonpoint.errors import NotRun
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._exchange import Exchange, StatementNotSent
-from wigeonpoint.process.gateway._executor import StatementExecutor
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway._replies import reply_for_answer, reply_for_error
 from wigeonpoint.process.gateway._statement_context import INITIAL_RETRY_PAUSE_S, StatementContext
+from wigeonpoint.process.gateway._statement_router import StatementRouter
 from wigeonpoint.request.session import (
     Refusal,
     Reply,
@@ -51,11 +51,11 @@
     """Runs the statements of open transactions.
 
     Args:
-        executor: Opens connections and confirms answers of primaries.
+        router: Opens exchanges and confirms answers of primaries.
     """
 
-    def __init__(self, executor: StatementExecutor) -> None:
-        self._executor = executor
+    def __init__(self, router: StatementRouter) -> None:
+        self._router = router
         self._bindings: dict[PooledConnection, _Binding] = {}
 
     @property
@@ -100,7 +100,7 @@
         """Ends a transaction without effect; the member's rollback runs in the background."""
         connection = session.end()
         if connection is not None:
-            self._executor.run_in_background(self._return_connection(connection))
+            self._router.run_in_background(self._return_connection(connection))
 
     async def _get_exchange(
         self, context: StatementContext, transaction: SessionTransaction
@@ -109,7 +109,7 @@
         if connection is None:
             return await self._begin_at_member(context, transaction)
         binding = self._bindings[connection]
-        return self._executor.make_exchange(
+        return self._router.make_exchange(
             replace(context, group=binding.group), binding.pool, connection
         )
 
@@ -133,7 +133,7 @@
             exchange.pool.release(exchange.connection)
             last_reply = answer if isinstance(answer, Reply) else reply_for_answer(answer)
             if isinstance(answer, MemberAnswer):
-                self._executor.note_fault(context, exchange.pool, answer, after)
+                self._router.note_fault(context, exchange.pool, answer, after)
             if context.remaining_s <= pause_s:
                 break
             await asyncio.sleep(pause_s)
@@ -149,14 +149,14 @@
             NotRun: No usable member has a connection free in time.
         """
         if not transaction.read_only:
-            return await self._executor.open_exchange_at_primary(context), None
+            return await self._router.open_exchange_at_primary(context), None
         await context.group.refresh_samples(context.route)
         now = asyncio.get_running_loop().time()
         requirement = context.group.read_requirement(context.route, context.committed, now)
         pool = context.group.choose_read_member(requirement, now, excluded=frozenset(tried))
         if pool is None or pool.record.id == context.group.primary_id:
-            return await self._executor.open_exchange_at_primary(context), None
-        return await self._executor.open_exchange(context, pool), requirement.position
+            return await self._router.open_exchange_at_primary(context), None
+        return await self._router.open_exchange(context, pool), requirement.position
 
     async def _begin(
         self,
@@ -228,14 +228,14 @@
             exchange.pool.note_late()
             if not exchange.sent or not transaction.wrote:
                 return _aborted_reply("the connection was lost and nothing had been written")
-            return self._executor.in_doubt_reply(context, str(error) or "no answer in time")
+            return self._router.in_doubt_reply(context, str(error) or "no answer in time")
         commit = answer.position if transaction.wrote else None
         if answer.fault is None and not await self._confirm(
             context, exchange.connection, commit=commit
         ):
             if not transaction.wrote:
                 return _aborted_reply("the primary may have been replaced")
-            return self._executor.in_doubt_reply(context, "the primary may have been replaced")
+            return self._router.in_doubt_reply(context, "the primary may have been replaced")
         if answer.fault is None and transaction.wrote:
             context.note_commit(answer.position)
         if answer.fault is not None and answer.fault.not_run:
@@ -245,7 +245,7 @@
 
     def _may_send(self, context: StatementContext, connection: PooledConnection) -> bool:
         binding = self._bindings[connection]
-        return not binding.at_primary or self._executor.may_send(context, binding.pool)
+        return not binding.at_primary or self._router.may_send(context, binding.pool)
 
     async def _confirm(
         self,
@@ -257,14 +257,14 @@
         binding = self._bindings[connection]
         if not binding.at_primary:
             return True
-        return await self._executor.confirm(context, binding.pool, commit=commit)
+        return await self._router.confirm(context, binding.pool, commit=commit)
 
     def _fail_transaction(self, context: StatementContext, reply: Reply) -> Reply:
         """Marks the transaction as failed and returns its connection to the pool."""
         transaction = context.session.transaction
         if transaction is not None and transaction.connection is not None:
             connection, transaction.connection = transaction.connection, None
-            self._executor.run_in_background(self._return_connection(connection))
+            self._router.run_in_background(self._return_connection(connection))
         context.session.state = TransactionState.FAILED
         log_event(
             Event.TRANSACTION_ABORTED,
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable
 
 from wigeonpoint.backend import LogPosition
-from wigeonpoint.errors import ConditionFailed, StoreUnavailable
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
@@ -15,41 +13,26 @@
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._handover import Handover
 from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S, Lease
+from wigeonpoint.process.gateway.control._lease_keeper import LeaseKeeper
 from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._quorum_leases import QuorumLeases
 from wigeonpoint.process.gateway.control._records import (
     CONTROL_TABLE,
     ControlRecords,
-    encode_record,
-    instance_row,
 )
+from wigeonpoint.process.gateway.control._registration import Registration
 from wigeonpoint.process.gateway.control._watch_set import FULL_MESH_LIMIT, store_reader
-from wigeonpoint.services import RowStore, RowTransaction, VersionedRow
+from wigeonpoint.services import RowStore
 from wigeonpoint.version.catalogue import (
     Leadership,
     LeadershipPhase,
     RegisteredInstance,
 )
 
-# The store is read when the lease has become this old, so that answers of peers may renew it first.
-STORE_READ_AFTER_S = 0.4 * LEASE_DURATION_S
-# In a large fleet one instance per data centre reads the store at that age. The others read it only
-# if they do not hear from that instance, at random ages between these two, so that the first read
-# makes the others unnecessary.
-STORE_READ_EARLIEST_S = 0.65 * LEASE_DURATION_S
-STORE_READ_LATEST_S = 0.75 * LEASE_DURATION_S
-STORE_LATENCY_FACTOR = 1.3  # allows for an answer that takes longer than the average
-STORE_LATENCY_WEIGHT = 0.3  # of the newest measurement in the moving average
-STORE_READ_MARGIN_S = 0.1
 # Members are asked to confirm primaries when the lease is about to expire.
 QUORUM_LEASES_AFTER_S = 0.8 * LEASE_DURATION_S
-LEASE_CHECK_INTERVAL_S = 0.02
-LOADING_CHECK_INTERVAL_S = 0.01
 LEASE_WATCH_INTERVAL_S = 0.05
 MAX_LOGGED_AGE_S = 1000.0  # a lease that was never renewed is infinitely old
-REGISTRATION_INTERVAL_S = 0.3
-# Nothing waits for a registered instance to write its row again, and each store call costs money.
-RENEWAL_RETRY_DELAY_S = 1.0
 
 
 class ControlState:
@@ -83,8 +66,6 @@
         on_instances_changed: Callable[[], None] = lambda: None,
     ) -> None:
         self._name = name
-        self._registration = registration
-        self._store = store
         self._group = group
         self._members = members
         self._quorum_leases = quorum_leases
@@ -94,15 +75,13 @@
         self._leaderships: dict[str, Leadership] = {}
         self._instances: dict[str, RegisteredInstance] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        self._leaving = False
-        self._registration_written = False
-        self._random = random.Random()
-        self._read_delay_chosen_for = float("-inf")
-        self._read_delay_s = STORE_READ_AFTER_S
-        self._store_latency_s = 0.0
         self._handovers: dict[str, Handover] = {}
         self.lease = Lease(clock)
         self.feed = TableFeed(store, CONTROL_TABLE, self._apply_rows, follows=follows_store)
+        self._registration = Registration(name, registration, store, self.feed)
+        self._keeper = LeaseKeeper(
+            self.lease, self.feed, lambda: self.peers.keys(), lambda: self.reads_for_others
+        )
 
     @property
     def name(self) -> str:
@@ -127,12 +106,12 @@
     @property
     def registered(self) -> bool:
         """Whether this instance is registered, so that claimants wait for its confirmation."""
-        return self._instances.get(self._name) == self._registration
+        return self._instances.get(self._name) == self._registration.row
 
     @property
     def registered_before(self) -> bool:
         """Whether the instance was registered when this process started."""
-        return self.registered and not self._registration_written
+        return self.registered and not self._registration.written
 
     @property
     def reads_for_others(self) -> bool:
@@ -151,7 +130,7 @@
         """Whether neither the store nor any instance in another data centre can be reached."""
         if self.lease_valid or not self.feed.loaded:
             return False
-        own = self._registration.data_centre
+        own = self._registration.row.data_centre
         others = {name for name, peer in self.peers.items() if peer.data_centre != own}
         return bool(others) and not self.lease.reachable(others)
 
@@ -234,8 +213,8 @@
         self.feed.start()
         self._quorum_leases.start(lambda: self.registered and not self._lease_renewed_recently)
         self._tasks = [
-            asyncio.create_task(self._keep_registered()),
-            asyncio.create_task(self._keep_lease()),
+            asyncio.create_task(self._registration.run()),
+            asyncio.create_task(self._keeper.run()),
             asyncio.create_task(self._watch_lease()),
         ]
 
@@ -250,37 +229,16 @@
 
     async def deregister_instance(self, name: str) -> None:
         """Deregisters an instance that has been lost."""
-        key = instance_row(name)
-        version = self.records.version(key.key)
-        try:
-            await self._store.commit(RowTransaction({key: version}, deletes=[key]))
-        except (StoreUnavailable, ConditionFailed) as error:
-            log_event(Event.REGISTRATION_FAILED, instance_withdrawn=name, reason=str(error))
-            return
-        log_event(Event.INSTANCE_DEREGISTERED, withdrawn=name)
+        await self._registration.end_other(name)
 
     async def deregister(self, *, timeout: float) -> None:
         """Deregisters this instance; it may use no primary afterwards.
 
-        The deletion is conditional on the version of the row that this process wrote: if it is
-        carried out late, it must not delete the row of a process that was started as a replacement.
-
         Args:
             timeout: Seconds to wait for the store.
         """
-        self._leaving = True
-        key = instance_row(self._name)
-        version = self.records.version(key.key)
-        self._instances.pop(self._name, None)
-        if not version:
-            return
-        try:
-            async with asyncio.timeout(timeout):
-                await self._store.commit(RowTransaction({key: version}, deletes=[key]))
-        except (StoreUnavailable, ConditionFailed, TimeoutError) as error:
-            log_event(
-                Event.REGISTRATION_FAILED, reason=str(error) or "the store did not answer in time"
-            )
+        self._instances = self.peers
+        await self._registration.end(timeout=timeout)
 
     def _start_handover(self, group: Group, leadership: Leadership) -> Handover | None:
         """Starts a handover if a record claims a planned change whose two members are known."""
@@ -299,7 +257,7 @@
     def _apply_rows(self) -> None:
         records = self.records
         instances = records.instances()
-        if self._leaving:
+        if self._registration.leaving:
             instances.pop(self._name, None)
         for name in self._instances.keys() - instances.keys():
             self.lease.forget_peer(name)
@@ -309,73 +267,6 @@
         for group, leadership in records.leaderships().items():
             self.adopt_leadership(group, leadership)
 
-    async def _keep_registered(self) -> None:
-        while True:
-            if (
-                self.feed.loaded
-                and not self._leaving
-                and not (self.registered and self._registration_written)
-            ):
-                await self._register()
-            await asyncio.sleep(
-                REGISTRATION_INTERVAL_S if self.registered else LOADING_CHECK_INTERVAL_S
-            )
-
-    async def _register(self) -> None:
-        """Writes this instance's row.
-
-        A process that finds the row of its predecessor counts as registered, and still writes the
-        row again: if the predecessor's deletion is carried out late, it then fails its condition.
-        """
-        key = instance_row(self._name)
-        value = encode_record(self._registration)
-        try:
-            version = await self._store.commit(RowTransaction(puts={key: value}))
-        except (StoreUnavailable, ConditionFailed) as error:
-            log_event(Event.REGISTRATION_FAILED, reason=str(error))
-            await asyncio.sleep(
-                RENEWAL_RETRY_DELAY_S if self.registered else REGISTRATION_INTERVAL_S
-            )
-            return
-        self._registration_written = True
-        self.feed.apply(VersionedRow(CONTROL_TABLE, key.key, value, version))
-
-    async def _keep_lease(self) -> None:
-        while True:
-            if self.feed.loaded and self.lease.age_s(self.peers) > self._store_read_due_s():
-                await self._read_store()
-            # Nothing that needs a primary can be served until the control rows are loaded.
-            await asyncio.sleep(
-                LEASE_CHECK_INTERVAL_S if self.feed.loaded else LOADING_CHECK_INTERVAL_S
-            )
-
-    def _store_read_due_s(self) -> float:
-        """Age of the lease, in seconds, at which the store is read next.
-
-        The random part is chosen once for each store read that the lease goes back to.
-        """
-        read_at = self.lease.store_read_at()
-        if read_at != self._read_delay_chosen_for:
-            self._read_delay_chosen_for = read_at
-            self._read_delay_s = self._random.uniform(STORE_READ_EARLIEST_S, STORE_READ_LATEST_S)
-        if self.reads_for_others:
-            return STORE_READ_AFTER_S
-        latest = (
-            LEASE_DURATION_S - STORE_LATENCY_FACTOR * self._store_latency_s - STORE_READ_MARGIN_S
-        )
-        return max(min(self._read_delay_s, latest), 0.0)
-
-    async def _read_store(self) -> None:
-        asked_at = self.lease.now
-        try:
-            await self.feed.poll()
-        except StoreUnavailable:
-            await asyncio.sleep(STORE_READ_AFTER_S)  # the feed logs that the store is unavailable
-            return
-        self.lease.note_store_read(asked_at)
-        latency = self.lease.now - asked_at
-        self._store_latency_s += STORE_LATENCY_WEIGHT * (latency - self._store_latency_s)
-
     async def _watch_lease(self) -> None:
         """Logs when the lease is lost and regained."""
         while True:
--- a/tests/gateway/test_watch_set.py
+++ b/tests/gateway/test_watch_set.py
@@ -13,7 +13,7 @@
 from tests.gateway._platform import NAMES
 from wigeonpoint.process.gateway._table_feed import FEED_WAIT_S
 from wigeonpoint.process.gateway.control import CONTROL_TABLE, FULL_MESH_LIMIT, watch_set
-from wigeonpoint.process.gateway.control._control_state import STORE_READ_AFTER_S
+from wigeonpoint.process.gateway.control._lease_keeper import STORE_READ_AFTER_S
 from wigeonpoint.process.gateway.control._quorum_leases import RENEW_AFTER_S
 from wigeonpoint.process.gateway.control._watch_set import store_reader
 from wigeonpoint.version.catalogue import RegisteredInstance
