Limit the statements that run at a member at the same time

Cause: a pool granted every open connection, so that a fleet sent a member more statements than its slots and its queue hold. It refused the rest, they were sent again, and a full member spent its time on refusals.

Change: an instance runs as many statements as a member has slots (twice as many where it connects directly, as lost answers occupy some), fewer after each refusal and one more for each round of answers. The others wait in the pool, the most urgent first. Connections that wait for the next statement of a transaction do not count, nor statements whose answers are probably lost.

--- a/src/wigeonpoint/connection/session/_pooled_connection.py
+++ b/src/wigeonpoint/connection/session/_pooled_connection.py
@@ -28,6 +28,7 @@
         self.last_session: int | None = None
         self.idle_since = 0.0
         self.waiting_since: float | None = None  # event-loop time of an unanswered statement
+        self.resting = False  # whether it waits for the next statement of its transaction
         self.state = TransactionState.IDLE
 
     @property
--- a/src/wigeonpoint/process/gateway/_connection_set.py
+++ b/src/wigeonpoint/process/gateway/_connection_set.py
@@ -58,6 +58,7 @@
             if connection.closed:
                 connection.close()
                 continue
+            connection.resting = False
             # While the connection is in use, this is the time at which it was granted.
             connection.idle_since = asyncio.get_running_loop().time()
             self._in_use.add(connection)
@@ -77,6 +78,11 @@
         self.add(connection)
         return True
 
+    @property
+    def running(self) -> int:
+        """Number of connections in use that do not wait for the next statement of a transaction."""
+        return sum(not connection.resting for connection in self._in_use)
+
     def uses(self, connection: PooledConnection) -> bool:
         """Whether a connection is in use."""
         return connection in self._in_use
--- a/src/wigeonpoint/process/gateway/_exchange.py
+++ b/src/wigeonpoint/process/gateway/_exchange.py
@@ -16,12 +16,10 @@
 )
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.process.gateway._group import Group
-from wigeonpoint.process.gateway._member_pool import MemberPool
+from wigeonpoint.process.gateway._member_pool import MIN_LATE_S, MemberPool
 from wigeonpoint.process.gateway._primary_guard import PrimaryGuard
 from wigeonpoint.request.session import SessionStatement, TransactionState, Verb
 
-MIN_LATE_S = 0.04  # an answer is late only after this, however fast the member usually is
-
 
 class StatementNotSent(Exception):
     """The member refused to restore the session's state, so the statement was not sent.
@@ -111,6 +109,7 @@
         late_s = max(self._pool.latency.late_after_s, MIN_LATE_S)
         timer = loop.call_later(late_s, self._pool.note_late)
         self._connection.waiting_since = loop.time()
+        self._connection.resting = False
         try:
             yield
         except NotRun as error:
@@ -121,6 +120,8 @@
         finally:
             timer.cancel()
             self._connection.waiting_since = None
+            self._connection.resting = True
+            self._pool.note_resting()
 
     async def _restore_session(self) -> str | None:
         connection, session = self._connection, self._session
@@ -139,6 +140,8 @@
         now = asyncio.get_running_loop().time()
         self._connection.state = answer.state
         self._connection.forget_prepared(answer)
+        if answer.fault is MemberFault.BUSY:
+            self._pool.note_busy()
         self._pool.note_answered(sent_at)
         self._pool.latency.record(now - sent_at)
         if self._connection.state is TransactionState.FAILED:
--- a/src/wigeonpoint/process/gateway/_group.py
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -9,7 +9,7 @@
 
 from wigeonpoint.backend import LogPosition, MemberRole
 from wigeonpoint.connection.session import MemberConnection, MemberConnector
-from wigeonpoint.process.gateway._member_pool import MemberPool
+from wigeonpoint.process.gateway._member_pool import UNLIMITED_STATEMENTS, MemberPool
 from wigeonpoint.process.gateway._member_sharing import MemberSharing
 from wigeonpoint.process.gateway._positions import (
     PositionSample,
@@ -21,6 +21,8 @@
 from wigeonpoint.version.catalogue import Consistency, DatabaseRoute, MemberRecord, Service
 
 PREWARMED_CONNECTIONS = 2
+# Of a member, for one instance. Lost answers occupy some of them until they are given up.
+STATEMENTS_PER_SLOT = 2
 # Samples are taken as older by this, because the read still has to travel to the replica.
 SAMPLE_AGE_MARGIN_S = 0.1
 
@@ -284,9 +286,16 @@
             self._connector,
             share=self._connection_share,
             limit=lambda: self.service.connection_limit,
+            running=lambda: self._running_limit(record),
             superseded=lambda connection: self._superseded(record, connection),
         )
 
+    def _running_limit(self, record: MemberRecord) -> int:
+        """Statements that this instance may run at a member; relays limit what they pass on."""
+        if self._sharing.relayed(self.service.connection_limit):
+            return UNLIMITED_STATEMENTS
+        return STATEMENTS_PER_SLOT * record.slots
+
     def _connection_share(self) -> int:
         return self._sharing.share(self.service.connection_limit)
 
--- a/src/wigeonpoint/process/gateway/_member_pool.py
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -21,6 +21,7 @@
 from wigeonpoint.process._schedule import QueueEntry, RankedSchedule
 from wigeonpoint.process.gateway._connection_quota import ConnectionQuota
 from wigeonpoint.process.gateway._connection_set import ConnectionSet
+from wigeonpoint.process.gateway._statement_limit import StatementLimit
 from wigeonpoint.request import Rank
 from wigeonpoint.version.catalogue import MemberRecord
 
@@ -28,9 +29,11 @@
 RECENT_ANSWER_S = 0.1  # after an answer this recent, a late one is no sign of a fault
 # At an unreachable member, a statement unanswered for this long is abandoned.
 SILENT_CONNECTION_S = 0.2
+MIN_LATE_S = 0.04  # an answer is late only after this, however fast the member usually is
 MIN_OVERDUE_S = 0.1  # an answer is overdue only after this long, however fast the member usually is
 MIN_RETRY_MS = 20
 ROLLBACK_TIMEOUT_S = 0.5
+UNLIMITED_STATEMENTS = 1_000_000
 HOLD_WEIGHT = 0.1  # of the newest value in the smoothed time for which a connection is held
 INITIAL_HOLD_S = 0.02
 
@@ -46,6 +49,7 @@
         connector: Opens connections.
         share: Returns this instance's equal share of the limit.
         limit: Returns the member's connection limit.
+        running: Returns the number of statements that may run at the same time.
         superseded: Tells whether an idle connection should be closed because it would be opened in
             another way now.
     """
@@ -57,12 +61,14 @@
         *,
         share: Callable[[], int],
         limit: Callable[[], int],
+        running: Callable[[], int] = lambda: UNLIMITED_STATEMENTS,
         superseded: Callable[[MemberConnection], bool] = lambda connection: False,
     ) -> None:
         self._record = record
         self._connector = connector
         self._quota = ConnectionQuota(share=share, limit=limit)
         self._connections = ConnectionSet(superseded)
+        self._statement_limit = StatementLimit(running)
         self._opening: set[asyncio.Task[None]] = set()
         self._schedule = RankedSchedule()
         self._granted: dict[asyncio.Future[None], PooledConnection] = {}
@@ -116,7 +122,7 @@
         """
         if self._closed:
             raise self._unreachable_error()
-        if not self._schedule:
+        if not self._schedule and self._may_run():
             connection = self._connections.take(session)
             if connection is not None:
                 return connection
@@ -181,8 +187,17 @@
             sent_at: Event-loop time, in seconds, at which it was sent.
         """
         self.health.note_answer()
+        self._statement_limit.note_answered()
         self._newest_answered_sent_at = max(self._newest_answered_sent_at, sent_at)
 
+    def note_busy(self) -> None:
+        """Records that the member was too busy to run a statement."""
+        self._statement_limit.note_refused()
+
+    def note_resting(self) -> None:
+        """Records that a connection waits for the next statement of its transaction."""
+        self._grant_idle()
+
     def overtaken(self, sent_at: float) -> bool:
         """Whether a statement that was sent later than this has already been answered."""
         return self._newest_answered_sent_at > sent_at
@@ -199,9 +214,9 @@
 
     def expected_wait_s(self, rank: Rank, caller: str) -> float:
         """Expected seconds until a new request would get a connection."""
-        if self._connections.idle:
+        if self._connections.idle and self._may_run():
             return 0.0
-        connections = max(self.open, 1)
+        connections = max(min(self.open, self._statement_limit.limit), 1)
         return self._schedule.wait_work(rank, caller) * self._mean_hold_s / connections
 
     def _refuse_if_too_late(self, rank: Rank, caller: str, deadline: float) -> None:
@@ -235,7 +250,7 @@
         return self._granted.pop(entry.granted)
 
     def _grant_idle(self) -> None:
-        while self._schedule:
+        while self._schedule and self._may_run():
             connection = self._connections.take(None)
             if connection is None:
                 break
@@ -261,9 +276,19 @@
     def _open_for_waiting(self) -> None:
         if self._closed:
             return
-        while len(self._schedule) > len(self._opening) and self._may_open():
+        while len(self._schedule) > len(self._opening) and self._may_run() and self._may_open():
             self._start_opening(verify=not self.health.available)
 
+    def _may_run(self) -> bool:
+        """Whether another statement may run; those whose answers are probably lost do not count."""
+        late_s = max(self.latency.late_after_s, MIN_LATE_S)
+        lost = [
+            connection
+            for connection in self._connections.waiting_longer_than(late_s)
+            if connection.waiting_since is not None and self.overtaken(connection.waiting_since)
+        ]
+        return self._connections.running - len(lost) < self._statement_limit.limit
+
     def _may_open(self) -> bool:
         if not self.health.available and (self._opening or not self.health.may_connect):
             return False
--- a/src/wigeonpoint/process/gateway/relay/_service.py
+++ b/src/wigeonpoint/process/gateway/relay/_service.py
@@ -351,6 +351,7 @@
             self._connector,
             share=lambda: self._sharing.relay_share(group.service.connection_limit),
             limit=lambda: group.service.connection_limit,
+            running=lambda: known.record.slots,
         )
         return pool
 
--- a/tests/gateway/_members.py
+++ b/tests/gateway/_members.py
@@ -50,6 +50,10 @@
         lose_answers: Number of next statements whose answers are lost after they have run.
         lose_every: Loses the answer of every statement whose number is a multiple of this; 0 loses
             none.
+        slots: Statements that it runs at the same time; None for any number.
+        queue: Statements that wait for a slot, in order of arrival; it refuses more.
+        arrived: Number of statements that arrived.
+        refused: Number of statements that it refused because its queue was full.
         refuse_busy: Number of next statements to refuse as busy without running them.
         compares_numbers_only: Whether it ignores the term when it compares positions.
         runs: Every statement that it ran: id, text, session values.
@@ -68,10 +72,17 @@
     peak_connections: int = 0
     lose_answers: int = 0
     lose_every: int = 0
+    slots: int | None = None
+    queue: int = 0
+    arrived: int = 0
+    refused: int = 0
     refuse_busy: int = 0
     compares_numbers_only: bool = False
     running: bool = True
     runs: list[tuple[str, str, dict[str, str]]] = field(default_factory=list)
+    _occupied: int = 0
+    _slot_freed: asyncio.Event = field(default_factory=asyncio.Event)
+    _running: int = 0
 
     @property
     def position(self) -> LogPosition:
@@ -96,6 +107,27 @@
             return self.position.position < after.position
         return self.position < after
 
+    async def occupy_slot(self) -> bool:
+        """Runs a statement for `statement_s` once a slot is free; False if the queue is full."""
+        self.arrived += 1
+        if self.slots is not None and self._occupied >= self.slots + self.queue:
+            self.refused += 1
+            return False
+        self._occupied += 1
+        try:
+            while self.slots is not None and self._running >= self.slots:
+                self._slot_freed.clear()
+                await self._slot_freed.wait()
+            self._running += 1
+            try:
+                await asyncio.sleep(self.statement_s)
+            finally:
+                self._running -= 1
+                self._slot_freed.set()
+        finally:
+            self._occupied -= 1
+        return True
+
     def receive(self, entry: Entry) -> None:
         """Appends an entry of the primary."""
         self.log.append(entry)
@@ -251,7 +283,8 @@
             return await self._answer(fault=MemberFault.BUSY)
         if after is not None and member.lacks(after):
             return await self._answer(fault=MemberFault.BEHIND)
-        await asyncio.sleep(member.statement_s)
+        if not await member.occupy_slot():
+            return await self._answer(fault=MemberFault.BUSY)
         member.runs.append((statement.id, statement.text, dict(self._values)))
         answer = self._execute(statement, prepared_name)
         if member.lose_answers > 0:
