Log statements of other instances that fail at a relay

Cause: the log of a caller's instance told only what its relay answered, so that the cause of a refusal or a lost answer at the member was not found by the statement's id.

Change: a relay logs event 609 with the id, the sender, the member, the outcome and the reason; explain counts an unavailable relay among the causes.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -81,6 +81,7 @@
     STATEMENT_REFUSED = (603, logging.INFO, "statement refused")
     STATEMENT_IN_DOUBT = (604, logging.WARNING, "the outcome of a statement is not known")
     STATEMENT_RETRIED = (605, logging.INFO, "statement is retried")
+    RELAYED_STATEMENT_FAILED = (609, logging.INFO, "statement of another instance failed here")
     STATEMENT_SLOW = (608, logging.INFO, "statement took longer than the route's objective")
     TRANSACTION_ABORTED = (606, logging.INFO, "transaction rolled back")
     MESSAGE_REFUSED = (607, logging.INFO, "a caller's message cannot be read")
--- a/src/wigeonpoint/process/gateway/relay/_service.py
+++ b/src/wigeonpoint/process/gateway/relay/_service.py
@@ -224,8 +224,23 @@
         return answer, _Transaction(group, pool, connection, terms.after is None, now)
 
     async def _answer_statement(self, message: RelayStatement) -> MemberAnswer:
-        if message.in_transaction:
-            return await self._run_in_transaction(message)
+        try:
+            if message.in_transaction:
+                return await self._run_in_transaction(message)
+            return await self._run_single(message)
+        except (NotRun, OutcomeUnknown) as error:
+            log_event(
+                Event.RELAYED_STATEMENT_FAILED,
+                request=message.statement.id,
+                sender=message.terms.sender,
+                group=message.terms.group,
+                member=message.terms.member_id,
+                outcome=str(error.outcome),
+                reason=error.message,
+            )
+            raise
+
+    async def _run_single(self, message: RelayStatement) -> MemberAnswer:
         group = self._group(message.terms.group)
         pool, connection = await self._acquire(group, message.terms)
         try:
@@ -370,7 +385,7 @@
             if transaction.running or now - transaction.used_at < idle_s:
                 continue
             del self._transactions[key]
-            log_event(Event.TRANSACTION_ABORTED, reason="abandoned", instance=key[0])
+            log_event(Event.TRANSACTION_ABORTED, reason="abandoned", sender=key[0])
             task = asyncio.create_task(self._end(transaction))
             self._background.add(task)
             task.add_done_callback(self._background.discard)
--- a/src/wigeonpoint/report/_explain.py
+++ b/src/wigeonpoint/report/_explain.py
@@ -31,6 +31,7 @@
         Event.STORE_REACHABLE,
         Event.CATALOGUE_APPLIED,
         Event.RETRY_BUDGET_EMPTY,
+        Event.RELAY_UNAVAILABLE,
     )
 )
 # Events of a group or of a member, which concern only the requests that use it.
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -140,5 +140,8 @@
         "statements are not known. With `stalled`, the successor received no commits."
     ),
     "METRICS_UNAVAILABLE": "The address is in use or invalid; callers are served nevertheless.",
+    "RELAYED_STATEMENT_FAILED": (
+        "`sender` received it from its caller. `outcome` is `not_run` or `unknown`."
+    ),
     "STATEMENT_SLOW": "It took `ms` milliseconds; the route's objective is `target_ms`.",
 }
