Send relays no field twice

Cause: a relayed write carried its data in the text and again in the parsed argument, and times with eighteen digits; bytes between data centres are charged.

Change: a relay gets the text, or for EXECUTE the argument; times in messages between instances are rounded to milliseconds, ages of store reads upwards.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -209,7 +209,7 @@
         """Returns the state of this instance that is sent to peers."""
         names = self._platform.tables
         unreachable = {
-            name: seconds
+            name: round(seconds, 3)
             for name, group in self.view.groups.items()
             if (seconds := self.control.unreachable_s(group.primary))
         }
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import replace
+from math import ceil
 
 from wigeonpoint.connection import PeerDispatcher, PeerTransport
 from wigeonpoint.errors import WigeonpointError
@@ -370,4 +371,4 @@
 def store_read_age_s(control: ControlState) -> float | None:
     """Seconds since the latest store read, None if that is longer ago than a lease lasts."""
     age = control.lease.store_read_age_s()
-    return age if age < LEASE_DURATION_S else None
+    return ceil(age * 1000) / 1000 if age < LEASE_DURATION_S else None  # never too young
--- a/src/wigeonpoint/process/gateway/relay/_connection.py
+++ b/src/wigeonpoint/process/gateway/relay/_connection.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from typing import Any, TypeVar
 
 from wigeonpoint.backend import LogPosition
@@ -24,7 +25,12 @@
     RelayTerms,
 )
 from wigeonpoint.request import Rank
-from wigeonpoint.request.session import PreparedStatement, SessionStatement, TransactionState
+from wigeonpoint.request.session import (
+    PreparedStatement,
+    SessionStatement,
+    TransactionState,
+    Verb,
+)
 from wigeonpoint.version.catalogue import MemberRecord
 
 MAX_RELAY_ATTEMPTS = 3
@@ -103,7 +109,7 @@
         """Runs a statement."""
         message = RelayStatement(
             self._relay_terms(after),
-            statement,
+            _without_duplicates(statement),
             in_transaction=self._transaction_relay is not None,
             values=self._values,
             prepared=self._prepared.get(prepared_name or ""),
@@ -196,7 +202,7 @@
             rank=self._terms.rank,
             caller=self._terms.caller,
             session=self._terms.session,
-            remaining_s=self._remaining_s,
+            remaining_s=round(self._remaining_s, 3),
         )
 
     async def _ask_any(self, message: RelayStatement | RelayBegin) -> tuple[MemberAnswer, str]:
@@ -253,3 +259,13 @@
             raise
         finally:
             self._waiting = None
+
+
+def _without_duplicates(statement: SessionStatement) -> SessionStatement:
+    """Leaves out what a relay does not need: the text of `EXECUTE`, parsed fields of all others.
+
+    Bytes between data centres are charged, and the text of a write contains its data already.
+    """
+    if statement.verb is Verb.EXECUTE:
+        return replace(statement, text="")
+    return replace(statement, name="", argument="")
--- a/tests/gateway/_members.py
+++ b/tests/gateway/_members.py
@@ -16,6 +16,7 @@
     MemberUnreachable,
     RequestTerms,
 )
+from wigeonpoint.platform._line_protocol import parse_statement
 from wigeonpoint.request.session import (
     PreparedStatement,
     SessionStatement,
@@ -275,7 +276,9 @@
         after: LogPosition | None = None,
         prepared_name: str | None = None,
     ) -> MemberAnswer:
-        """Runs a statement."""
+        """Runs a statement, of which a member gets no more than the text."""
+        if statement.text:
+            statement = parse_statement(statement.id, statement.text)
         await self._network_delay()
         member = self._member
         if member.refuse_busy > 0:
