Wake up and ping less in large fleets

Cause: every instance looked at all groups fifty times a second to find out that it is not the coordinator, watched its lease and the need for quorum leases at fixed intervals, and sent 42 pings a second.

Change: only the coordinator looks at the groups; the watch of the lease and the quorum leases sleep until something can be due; pings every 0.4 s, every 0.25 s by the coordinator, every 0.14 s to the reader of the store. A relay that has answered nothing since a late statement is pinged, so that what waits for it ends within 0.3 s: a read at a silent relay was held to its deadline when another one answered the check of the member.

--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -14,7 +14,7 @@
 INITIAL_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 0.4  # entries that were not renewed expire two seconds after the store returns
 STABLE_AFTER_S = 2.0
-FOLLOW_CHECK_INTERVAL_S = 0.25
+FOLLOW_CHECK_INTERVAL_S = 0.5
 # The feed waits this long after a change, so that one call fetches changes in quick succession, as
 # when many instances start.
 CHANGE_BATCH_S = 0.1
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -120,10 +120,11 @@
             return True
         return store_reader(self._name, self._instances) == self._name
 
-    @property
-    def _lease_renewed_recently(self) -> bool:
-        """Whether the store or the peers renewed the lease recently."""
-        return self.lease.age_s(self.peers) < QUORUM_LEASES_AFTER_S
+    def _quorum_leases_due_s(self) -> float:
+        """Seconds until quorum leases are needed if nothing renews the lease; 0 if they are now."""
+        if not self.registered:
+            return QUORUM_LEASES_AFTER_S
+        return max(QUORUM_LEASES_AFTER_S - self.lease.age_s(self.peers), 0.0)
 
     @property
     def isolated(self) -> bool:
@@ -211,7 +212,7 @@
     def start(self) -> None:
         """Follows the control table, registers this instance and renews the lease."""
         self.feed.start()
-        self._quorum_leases.start(lambda: self.registered and not self._lease_renewed_recently)
+        self._quorum_leases.start(self._quorum_leases_due_s)
         self._tasks = [
             asyncio.create_task(self._registration.run()),
             asyncio.create_task(self._keeper.run()),
@@ -272,7 +273,9 @@
         while True:
             if self.lease_valid != (self._lease_valid_since is not None):
                 self._record_lease_change()
-            await asyncio.sleep(LEASE_WATCH_INTERVAL_S)
+            # A valid lease cannot be lost sooner than it expires.
+            remaining_s = LEASE_DURATION_S - self.lease.age_s(self.peers) if self.lease_valid else 0
+            await asyncio.sleep(max(remaining_s, LEASE_WATCH_INTERVAL_S))
 
     def _record_lease_change(self) -> None:
         regained = self._lease_valid_since is None
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -24,6 +24,7 @@
 from wigeonpoint.version.catalogue import Leadership, LeadershipPhase
 
 CHECK_INTERVAL_S = 0.02
+STANDBY_CHECK_INTERVAL_S = 0.1  # for instances that are not the coordinator
 RETRY_DELAY_S = 0.1
 DEREGISTER_AFTER_S = 8.0  # an instance that restarts or is briefly cut off returns sooner
 # A claim that is not completed within these times is taken over.
@@ -87,10 +88,14 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            coordinator = self._peers.is_coordinator
+            await asyncio.sleep(CHECK_INTERVAL_S if coordinator else STANDBY_CHECK_INTERVAL_S)
             if not self._lease_settled():
                 self._unreachable_since.clear()
                 continue
+            if not self._peers.is_coordinator:
+                self._unreachable_since.clear()
+                continue
             for name, group in self._groups().items():
                 if name not in self._changes and self._may_retry(name):
                     self._check_group(name, group)
@@ -101,9 +106,6 @@
 
         While a lost instance is registered, leases cannot be renewed by answers of all peers.
         """
-        if not self._peers.is_coordinator:
-            self._unreachable_since.clear()
-            return
         now = self._control.lease.now
         for name in list(self._control.peers):
             if name in self._control.lease.reachable([name]):
@@ -131,8 +133,6 @@
         return now >= self._retry_at.get(name, 0.0)
 
     def _check_group(self, name: str, group: Group) -> None:
-        if not self._peers.is_coordinator:
-            return
         reachable = self._peers.reachable
         leadership = self._control.leadership(name)
         if leadership is not None and leadership.phase is LeadershipPhase.CLAIMED:
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -35,8 +35,11 @@
 from wigeonpoint.version.catalogue import RegisteredInstance
 
 PING_INTERVAL_S = 0.15
-LARGE_FLEET_PING_INTERVAL_S = 0.25  # for fleets in which not all instances watch each other
-STORE_READER_PING_INTERVAL_S = 0.1  # for the instance that reads the store for its data centre
+# In fleets in which not all instances watch each other: by the coordinator, which decides on what
+# it hears, and by the others. A peer counts as reached for the lease duration.
+COORDINATOR_WATCH_INTERVAL_S = 0.25
+LARGE_FLEET_PING_INTERVAL_S = 0.4
+STORE_READER_PING_INTERVAL_S = 0.14  # of the instance that reads the store for its data centre
 # The coordinator pings all instances this often, to find lost ones and deregister them.
 COORDINATOR_PING_INTERVAL_S = 1.0
 PING_TIMEOUT_S = 0.25
@@ -237,15 +240,18 @@
 
     @property
     def _view_max_age_s(self) -> float:
-        return (
-            2 * (LARGE_FLEET_PING_INTERVAL_S if self._large_fleet else PING_INTERVAL_S)
-            + VIEW_AGE_MARGIN_S
-        )
+        return 2 * self._watch_interval_s + VIEW_AGE_MARGIN_S
+
+    @property
+    def _watch_interval_s(self) -> float:
+        if not self._large_fleet:
+            return PING_INTERVAL_S
+        return COORDINATOR_WATCH_INTERVAL_S if self.is_coordinator else LARGE_FLEET_PING_INTERVAL_S
 
     def _ping_intervals(self) -> dict[str, float]:
         """Seconds between two pings, by the address of each instance to ping."""
         peers = self._control.peers
-        interval = LARGE_FLEET_PING_INTERVAL_S if self._large_fleet else PING_INTERVAL_S
+        interval = self._watch_interval_s
         intervals: dict[str, float] = {}
         if self.is_coordinator:
             intervals = {peer.address: COORDINATOR_PING_INTERVAL_S for peer in peers.values()}
@@ -268,7 +274,7 @@
                 self._transport.disconnect(address)
             for address in intervals.keys() - self._pingers.keys():
                 self._pingers[address] = asyncio.create_task(self._ping_peer(address))
-            await asyncio.sleep(PING_INTERVAL_S)
+            await asyncio.sleep(self._watch_interval_s)
 
     async def _ping_peer(self, address: str) -> None:
         reached = True
--- a/src/wigeonpoint/process/gateway/control/_quorum_leases.py
+++ b/src/wigeonpoint/process/gateway/control/_quorum_leases.py
@@ -128,13 +128,13 @@
             if confirmed_at > self._leases.get(group, ("", float("-inf")))[1]:
                 self._record_lease(group, lease.member_id, confirmed_at)
 
-    def start(self, needed: Callable[[], bool]) -> None:
+    def start(self, due_s: Callable[[], float]) -> None:
         """Starts asking members.
 
         Args:
-            needed: Tells whether quorum leases are needed now.
+            due_s: Returns the seconds until quorum leases are needed, 0 if they are now.
         """
-        self._task = asyncio.create_task(self._run(needed))
+        self._task = asyncio.create_task(self._run(due_s))
 
     def close(self) -> None:
         """Stops asking members."""
@@ -143,10 +143,10 @@
         for task in self._requests.values():
             task.cancel()
 
-    async def _run(self, needed: Callable[[], bool]) -> None:
+    async def _run(self, due_s: Callable[[], float]) -> None:
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            if not needed():
+            await asyncio.sleep(max(due_s(), CHECK_INTERVAL_S))
+            if due_s() > 0:
                 continue
             for name, group in self._groups().items():
                 if self._due(name, group):
--- a/src/wigeonpoint/process/gateway/relay/_links.py
+++ b/src/wigeonpoint/process/gateway/relay/_links.py
@@ -7,8 +7,15 @@
 from typing import Any, TypeVar
 
 from wigeonpoint.connection import PeerTransport
-from wigeonpoint.errors import InvalidRequest, NotRun, ResultCode, WigeonpointError
+from wigeonpoint.errors import (
+    InvalidRequest,
+    NotRun,
+    OutcomeUnknown,
+    ResultCode,
+    WigeonpointError,
+)
 from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway.relay._messages import RelayPing, RelayReady
 
 INITIAL_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
@@ -16,6 +23,7 @@
 # statements that wait for it.
 SILENT_RELAY_S = 0.2
 BACKGROUND_TIMEOUT_S = 0.5
+PING_TIMEOUT_S = 0.25
 
 # Refusals of a relay that does not answer or stops; it is not used for a while.
 _RELAY_LOST = frozenset({ResultCode.PEER_UNREACHABLE, ResultCode.INSTANCE_STOPPING})
@@ -48,6 +56,7 @@
         self._transport = transport
         self._states: dict[str, _RelayState] = {}
         self._background: set[asyncio.Task[None]] = set()
+        self._pings: dict[str, asyncio.Task[None]] = {}
 
     def usable(self, address: str) -> bool:
         """Whether a relay should be used now."""
@@ -100,16 +109,19 @@
         state.answered_at = asyncio.get_running_loop().time()
 
     def note_late(self, address: str, sent_at: float) -> None:
-        """Has other relays used for a moment if one has answered nothing since a message.
+        """Has other relays used for a moment, and pings one that has answered nothing since.
 
         Args:
             address: Address of the relay.
             sent_at: Event-loop time, in seconds, at which the message was sent.
         """
         state = self._states.setdefault(address, _RelayState())
-        if state.answered_at < sent_at:
-            now = asyncio.get_running_loop().time()
-            state.paused_until = max(state.paused_until, now + INITIAL_PAUSE_S)
+        if state.answered_at > sent_at:
+            return
+        now = asyncio.get_running_loop().time()
+        state.paused_until = max(state.paused_until, now + INITIAL_PAUSE_S)
+        if address not in self._pings:
+            self._pings[address] = asyncio.create_task(self._ping(address))
 
     def note_failed(self, address: str, reason: str) -> None:
         """Records that a relay does not answer or stops; ends what waits for a silent one."""
@@ -124,10 +136,20 @@
 
     def close(self) -> None:
         """Closes the links."""
-        for task in self._background:
+        for task in (*self._background, *self._pings.values()):
             task.cancel()
         self._transport.close()
 
+    async def _ping(self, address: str) -> None:
+        try:
+            await self.request(address, RelayPing(), RelayReady, timeout=PING_TIMEOUT_S)
+        except RelayUnavailable:
+            return  # recorded with the refusal
+        except OutcomeUnknown:
+            self.note_failed(address, "no answer to a ping in time")
+        finally:
+            self._pings.pop(address, None)
+
     async def _send(self, address: str, message: Any, reply_type: type[Any]) -> None:
         try:
             await self._transport.request(
--- a/src/wigeonpoint/process/gateway/relay/_messages.py
+++ b/src/wigeonpoint/process/gateway/relay/_messages.py
@@ -20,9 +20,14 @@
     member_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class RelayPing:
+    """Asks a relay whether it answers at all."""
+
+
 @dataclass(frozen=True, slots=True)
 class RelayReady:
-    """The relay reaches the member."""
+    """The relay answers, or reaches the member that it was asked about."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/process/gateway/relay/_service.py
+++ b/src/wigeonpoint/process/gateway/relay/_service.py
@@ -25,6 +25,7 @@
     FetchSample,
     RelayBegin,
     RelayCheck,
+    RelayPing,
     RelayReady,
     RelayRollback,
     RelayStatement,
@@ -114,6 +115,7 @@
 
     def register(self, dispatcher: PeerDispatcher) -> None:
         """Registers the handlers of the messages to relays."""
+        dispatcher.register(RelayPing, self._answer_ping)
         dispatcher.register(RelayCheck, self._answer_check)
         dispatcher.register(FetchSample, self._answer_sample)
         dispatcher.register(RelayBegin, self._answer_begin)
@@ -171,6 +173,9 @@
         idle_s = asyncio.get_running_loop().time() - self._used_at[pool.record.id]
         return idle_s >= UNUSED_POOL_S and not pool.in_use and not pool.waiting
 
+    async def _answer_ping(self, message: RelayPing) -> RelayReady:
+        return RelayReady()
+
     async def _answer_check(self, message: RelayCheck) -> RelayReady:
         pool = self._pool(self._group(message.group), message.member_id)
         if not await pool.verify():
