Have a relay renew its quorum lease while it runs others' statements

Cause: a relay asked a group's members to confirm the primary only after it had refused a statement. While the store was away, it depended on the leases that peers had shared, and when these came late all relays refused.

Change: each statement that needs the primary marks the group as in use at the relay, whose own quorum lease is then renewed in time.

--- a/src/wigeonpoint/process/gateway/relay/_service.py
+++ b/src/wigeonpoint/process/gateway/relay/_service.py
@@ -325,6 +325,8 @@
         """
         loop = asyncio.get_running_loop()
         pool = self._pool(group, terms.member_id)
+        if terms.after is None:
+            group.primary_requested_at = loop.time()  # keeps this relay's quorum lease renewed
         deadline = loop.time() + terms.remaining_s
         session = _session_number(terms)
         connection = await pool.acquire(
@@ -333,7 +335,6 @@
         # An instance that was suspended finds old messages when it wakes up. By then its lease has
         # expired, and the member may have been replaced.
         if terms.after is None and not self._guard.may_send(group.name, terms.member_id):
-            group.primary_requested_at = loop.time()
             pool.release(connection)
             raise NotRun(ResultCode.NO_PRIMARY, "this relay may not use the primary now")
         return pool, connection
--- a/tests/gateway/test_relay.py
+++ b/tests/gateway/test_relay.py
@@ -372,6 +372,17 @@
             assert result.served
             assert seconds <= 1.5
 
+    async def test_relay_keeps_its_lease_while_the_store_is_unavailable(self) -> None:
+        """Guards against a relay that lets its lease expire although it runs others' statements."""
+        async with GatewayCluster() as cluster:
+            await grow(cluster)
+            caller = await cluster.caller(distant_asker(cluster), "current")
+            for index in range(40):
+                if index == 10:
+                    cluster.store.down = True
+                assert (await caller.query(f"WRITE a v{index}")).served
+                await asyncio.sleep(0.1)
+
     async def test_refused_begin_is_tried_at_another_relay(self) -> None:
         """Guards against a transaction that fails because its relay has just been lost."""
         async with GatewayCluster() as cluster:
