Split the relay service by job: statements, pools and transactions

Pools of relayed members and transactions of other instances' callers are modules of their own; what they do is unchanged. The tests of relays, sessions and pools pass.

--- a/src/wigeonpoint/connection/session/_pooled_connection.py
+++ b/src/wigeonpoint/connection/session/_pooled_connection.py
@@ -46,6 +46,11 @@
         """Whether it can carry no further statement."""
         return self._member_connection.closed
 
+    @property
+    def idle(self) -> bool:
+        """Whether no transaction is open on it."""
+        return self.state is TransactionState.IDLE
+
     async def restore_values(self, values: Mapping[str, str]) -> MemberAnswer | None:
         """Sets the values of a session on the connection, sending only what differs.
 
--- a/src/wigeonpoint/process/gateway/_connection_set.py
+++ b/src/wigeonpoint/process/gateway/_connection_set.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 
 from wigeonpoint.connection.session import MemberConnection, PooledConnection
-from wigeonpoint.request.session import TransactionState
 
 SPARE_IDLE_S = 0.5  # idle connections above the regular limit are closed after this
 
@@ -72,7 +71,7 @@
             Whether it is idle now.
         """
         self._in_use.discard(connection)
-        if connection.closed or connection.state is not TransactionState.IDLE:
+        if connection.closed or not connection.idle:
             connection.close()
             return False
         self.add(connection)
--- a/src/wigeonpoint/process/gateway/relay/_service.py
+++ b/src/wigeonpoint/process/gateway/relay/_service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.connection.session import (
@@ -32,45 +31,18 @@
     RelayTerms,
     SharedSample,
 )
+from wigeonpoint.process.gateway.relay._pools import RelayPools
+from wigeonpoint.process.gateway.relay._transactions import RelayTransaction, RelayTransactions
 from wigeonpoint.request.session import SessionStatement, TransactionState, Verb
-from wigeonpoint.version.catalogue import MemberRecord
 
 # A statement is awaited for this long after its caller's deadline; abandoning it closes its
 # connection, and opening a new one costs the member more.
 LATE_ANSWER_S = 0.5
-PREWARMED_CONNECTIONS = 2
-# Added to the time for which callers may leave transactions idle, because their own instance ends
-# those first. This ends the transactions of instances that were lost.
-IDLE_MARGIN_S = 1.0
-UNUSED_POOL_S = 2.0
 
 _IDLE = MemberAnswer(TransactionState.IDLE)
 _BEGIN = SessionStatement(id="", text="BEGIN", verb=Verb.BEGIN)
 
 
-@dataclass(slots=True, eq=False)
-class _Transaction:
-    """A transaction of another instance's caller.
-
-    Attributes:
-        group: The database group.
-        pool: Pool of its connection.
-        connection: Its connection to the member.
-        at_primary: Whether the member must still be the primary when it commits.
-        used_at: Event-loop time, in seconds, of its last message or answer.
-        running: Whether a statement is in progress.
-        ended: Whether its instance has ended it while a statement was in progress.
-    """
-
-    group: Group
-    pool: MemberPool
-    connection: PooledConnection
-    at_primary: bool
-    used_at: float
-    running: bool = False
-    ended: bool = False
-
-
 class RelayService:
     """Holds connections to the members that this instance relays for, and runs statements on them.
 
@@ -90,23 +62,17 @@
         guard: PrimaryGuard,
         transaction_idle_s: Callable[[], float],
     ) -> None:
-        self._connector = connector
-        self._sharing = sharing
         self._groups = groups
         self._guard = guard
         self._transaction_idle_s = transaction_idle_s
-        self._pools: dict[str, MemberPool] = {}
-        self._transactions: dict[tuple[str, int], _Transaction] = {}
-        # Connections whose transaction is being begun, and whether it has been ended already.
-        self._beginning: dict[tuple[str, int], bool] = {}
-        self._used_at: dict[str, float] = {}  # event-loop time in seconds, by member id
-        self._background: set[asyncio.Task[None]] = set()
+        self._pools = RelayPools(connector, sharing, groups)
+        self._transactions = RelayTransactions()
         self._draining = False
 
     @property
     def pools(self) -> Mapping[str, MemberPool]:
         """Pools of the connections to members, by member id."""
-        return self._pools
+        return self._pools.by_member
 
     @property
     def transactions(self) -> int:
@@ -128,50 +94,13 @@
 
     def close(self) -> None:
         """Closes all connections."""
-        for transaction in self._transactions.values():
-            transaction.connection.close()
-        for pool in self._pools.values():
-            pool.retire()
+        self._transactions.close()
+        self._pools.close()
 
     def maintain(self) -> None:
-        """Opens first connections, retires unneeded pools and ends abandoned transactions."""
-        self._end_abandoned()
-        records = {
-            pool.record.id: (group, pool.record)
-            for group in self._groups().values()
-            for pool in group.pools
-        }
-        for group, record in records.values():
-            if self._relays_for(group, record):
-                self._keep_warm(group, record.id)
-        for member_id, pool in list(self._pools.items()):
-            if member_id not in records or self._is_unused(pool):
-                self._pools.pop(member_id).retire()
-                continue
-            if not pool.health.available:
-                pool.probe()
-            pool.close_spare_connections()
-
-    def _relays_for(self, group: Group, record: MemberRecord) -> bool:
-        limit = group.service.connection_limit
-        if self._draining or record.leaving or not self._sharing.relayed(limit):
-            return False
-        return self._sharing.is_relay(record, limit)
-
-    def _keep_warm(self, group: Group, member_id: str) -> None:
-        """Keeps some connections open, from the second call on.
-
-        By then, instances that used the member directly have closed their connections.
-        """
-        known = member_id in self._pools
-        pool = self._pool(group, member_id)
-        if known and pool.health.available:
-            pool.prewarm(PREWARMED_CONNECTIONS)
-
-    def _is_unused(self, pool: MemberPool) -> bool:
-        """Whether a pool has served nothing for a while, as that of a former relay."""
-        idle_s = asyncio.get_running_loop().time() - self._used_at[pool.record.id]
-        return idle_s >= UNUSED_POOL_S and not pool.in_use and not pool.waiting
+        """Maintains the connections, and ends transactions of instances that were lost."""
+        self._transactions.end_abandoned(self._transaction_idle_s())
+        self._pools.maintain(draining=self._draining)
 
     async def _answer_ping(self, message: RelayPing) -> RelayReady:
         return RelayReady()
@@ -193,18 +122,9 @@
 
     async def _answer_begin(self, message: RelayBegin) -> MemberAnswer:
         key = message.terms.sender, message.terms.connection
-        self._beginning[key] = False
-        try:
-            answer, transaction = await self._begin(message)
-        finally:
-            ended = self._beginning.pop(key)
-        if transaction is not None and ended:
-            await self._end(transaction)
-        elif transaction is not None:
-            self._transactions[key] = transaction
-        return answer
-
-    async def _begin(self, message: RelayBegin) -> tuple[MemberAnswer, _Transaction | None]:
+        return await self._transactions.begin(key, lambda: self._begin(message))
+
+    async def _begin(self, message: RelayBegin) -> tuple[MemberAnswer, RelayTransaction | None]:
         """Begins a transaction; returns the member's answer and the transaction, if it is open.
 
         Raises:
@@ -226,7 +146,7 @@
             pool.release(connection)
             return answer, None
         now = asyncio.get_running_loop().time()
-        return answer, _Transaction(group, pool, connection, terms.after is None, now)
+        return answer, RelayTransaction(group, pool, connection, terms.after is None, now)
 
     async def _answer_statement(self, message: RelayStatement) -> MemberAnswer:
         try:
@@ -254,12 +174,7 @@
             pool.release(connection)
 
     async def _answer_rollback(self, message: RelayRollback) -> MemberAnswer:
-        key = message.sender, message.connection
-        if key in self._beginning:
-            self._beginning[key] = True
-        transaction = self._transactions.pop(key, None)
-        if transaction is not None:
-            await self._end(transaction)
+        await self._transactions.end((message.sender, message.connection))
         return _IDLE
 
     async def _run_in_transaction(self, message: RelayStatement) -> MemberAnswer:
@@ -268,24 +183,12 @@
         if transaction is None:
             raise NotRun(ResultCode.TRANSACTION_LOST, "the relay has ended the transaction")
         if message.statement.verb is Verb.COMMIT and not self._may_commit(transaction):
-            del self._transactions[key]
-            await self._end(transaction)
+            await self._transactions.end(key)
             raise NotRun(ResultCode.TRANSACTION_LOST, "the primary may have been replaced")
-        transaction.running = True
-        try:
-            answer = await self._run(
-                transaction.group, transaction.pool, transaction.connection, message
-            )
-        finally:
-            transaction.running = False
-            transaction.used_at = asyncio.get_running_loop().time()
-            if transaction.ended or transaction.connection.closed:
-                self._transactions.pop(key, None)
-                transaction.connection.close()
-                transaction.pool.release(transaction.connection)
-        if answer.state is TransactionState.IDLE and self._transactions.pop(key, None) is not None:
-            transaction.pool.release(transaction.connection)
-        return answer
+        group, pool, connection = transaction.group, transaction.pool, transaction.connection
+        return await self._transactions.run(
+            key, lambda: self._run(group, pool, connection, message)
+        )
 
     async def _run(
         self,
@@ -307,6 +210,7 @@
             async with asyncio.timeout(terms.remaining_s + LATE_ANSWER_S):
                 return await exchange.run(after=terms.after)
         except StatementNotSent as refused:
+            connection.state = refused.answer.state
             return refused.answer
         except (MemberConnectionLost, TimeoutError) as error:
             connection.close()
@@ -339,7 +243,7 @@
             raise NotRun(ResultCode.NO_PRIMARY, "this relay may not use the primary now")
         return pool, connection
 
-    def _may_commit(self, transaction: _Transaction) -> bool:
+    def _may_commit(self, transaction: RelayTransaction) -> bool:
         member_id = transaction.pool.record.id
         return not transaction.at_primary or self._guard.may_send(transaction.group.name, member_id)
 
@@ -350,51 +254,14 @@
         return group
 
     def _pool(self, group: Group, member_id: str) -> MemberPool:
-        """Returns the pool of a member; creates it if needed.
+        """Returns the pool of a member.
 
         Raises:
             NotRun: The member is not known here, or this instance stops.
         """
         if self._draining:
             raise NotRun(ResultCode.INSTANCE_STOPPING, "the relay is stopping")
-        known = group.pool(member_id)
-        if known is None:
-            raise NotRun(ResultCode.NOT_OWNER, f"member {member_id} is not known here")
-        self._used_at[member_id] = asyncio.get_running_loop().time()
-        pool = self._pools.get(member_id)
-        if pool is not None and pool.record.address == known.record.address:
-            pool.update(known.record)
-            return pool
-        if pool is not None:
-            pool.retire()
-        pool = self._pools[member_id] = MemberPool(
-            known.record,
-            self._connector,
-            share=lambda: self._sharing.relay_share(group.service.connection_limit),
-            limit=lambda: group.service.connection_limit,
-            running=lambda: known.record.slots,
-        )
-        return pool
-
-    async def _end(self, transaction: _Transaction) -> None:
-        """Rolls a transaction back, or has it ended once its statement in progress is over."""
-        if transaction.running:
-            transaction.ended = True
-            return
-        await transaction.pool.roll_back(transaction.connection)
-
-    def _end_abandoned(self) -> None:
-        """Ends transactions that their instance no longer uses, as it was probably lost."""
-        idle_s = self._transaction_idle_s() + IDLE_MARGIN_S
-        now = asyncio.get_running_loop().time()
-        for key, transaction in list(self._transactions.items()):
-            if transaction.running or now - transaction.used_at < idle_s:
-                continue
-            del self._transactions[key]
-            log_event(Event.TRANSACTION_ABORTED, reason="abandoned", sender=key[0])
-            task = asyncio.create_task(self._end(transaction))
-            self._background.add(task)
-            task.add_done_callback(self._background.discard)
+        return self._pools.use(group, member_id)
 
 
 def _make_session(terms: RelayTerms, message: RelayStatement | None = None) -> CallerSession:
