Judge relays by the health that members are judged by

The links to relays kept failures, pauses and the last answer in a class of their own, with the same doubling pauses as MemberHealth. That one serves both now and is named EndpointHealth; a pause without a failure is its own method. Pauses and limits are unchanged.

--- a/src/wigeonpoint/connection/session/__init__.py
+++ b/src/wigeonpoint/connection/session/__init__.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+from wigeonpoint.connection.session._endpoint_health import EndpointHealth
 from wigeonpoint.connection.session._latency import LatencyEstimate
-from wigeonpoint.connection.session._member_health import MemberHealth
 from wigeonpoint.connection.session._pooled_connection import PooledConnection
 from wigeonpoint.connection.session._protocols import (
     CallerConnection,
@@ -37,7 +37,7 @@
     "MemberConnectionLost",
     "MemberConnector",
     "MemberFault",
-    "MemberHealth",
+    "EndpointHealth",
     "MemberRefused",
     "MemberReport",
     "MemberUnreachable",
--- a/src/wigeonpoint/connection/session/_member_health.py
+++ b/src/wigeonpoint/connection/session/_endpoint_health.py
@@ -1,4 +1,4 @@
-"""Whether a member should get statements, judged by this instance's own traffic."""
+"""Whether a member or a relay should get statements, judged by this instance's own traffic."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 MAX_PAUSE_S = 1.0
 
 
-class MemberHealth:
-    """Availability of one member.
+class EndpointHealth:
+    """Availability of one member or relay.
 
-    A connection that cannot be opened makes the member unavailable. The pause before the next
+    A connection that cannot be opened makes it unavailable. The pause before the next
     attempt doubles with each failure; after it, one attempt at a time is made until one succeeds.
     """
 
@@ -52,6 +52,11 @@
             return 0.0
         return asyncio.get_running_loop().time() - max(self._failed_since, start)
 
+    def pause(self, seconds: float) -> None:
+        """Puts the next attempt off, without counting a failure."""
+        until = asyncio.get_running_loop().time() + seconds
+        self._paused_until = max(self._paused_until, until)
+
     def retry_now(self) -> None:
         """Ends the pause, so that the next attempt to connect may be made at once."""
         self._paused_until = 0.0
--- a/src/wigeonpoint/process/gateway/_member_pool.py
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 
 from wigeonpoint.connection.session import (
+    EndpointHealth,
     LatencyEstimate,
     MemberConnection,
     MemberConnectionLost,
     MemberConnector,
     MemberFault,
-    MemberHealth,
     MemberRefused,
     MemberUnreachable,
     PooledConnection,
@@ -74,7 +74,7 @@
         self._granted: dict[asyncio.Future[None], PooledConnection] = {}
         self._closed = False
         self._mean_hold_s = INITIAL_HOLD_S
-        self.health = MemberHealth()
+        self.health = EndpointHealth()
         self.latency = LatencyEstimate()
         self._newest_answered_sent_at = float("-inf")
         self.opened = 0
--- a/src/wigeonpoint/process/gateway/relay/_links.py
+++ b/src/wigeonpoint/process/gateway/relay/_links.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from wigeonpoint.connection import PeerTransport
+from wigeonpoint.connection.session import EndpointHealth
 from wigeonpoint.errors import (
     InvalidRequest,
     NotRun,
@@ -17,8 +17,7 @@
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway.relay._messages import RelayPing, RelayReady
 
-INITIAL_PAUSE_S = 0.1
-MAX_PAUSE_S = 1.0
+LATE_RELAY_PAUSE_S = 0.1
 # A relay that fails after it has answered nothing for this long is disconnected, which ends the
 # statements that wait for it.
 SILENT_RELAY_S = 0.2
@@ -37,13 +36,6 @@
     """A relay did not run a statement, for a reason that need not hold for other relays."""
 
 
-@dataclass(slots=True)
-class _RelayState:
-    failures: int = 0
-    paused_until: float = float("-inf")
-    answered_at: float = float("-inf")
-
-
 class RelayLinks:
     """Links of this instance to the relays of all members.
 
@@ -54,14 +46,14 @@
 
     def __init__(self, transport: PeerTransport) -> None:
         self._transport = transport
-        self._states: dict[str, _RelayState] = {}
+        self._health: dict[str, EndpointHealth] = {}
         self._background: set[asyncio.Task[None]] = set()
         self._pings: dict[str, asyncio.Task[None]] = {}
 
     def usable(self, address: str) -> bool:
         """Whether a relay should be used now."""
-        state = self._states.get(address)
-        return state is None or asyncio.get_running_loop().time() >= state.paused_until
+        health = self._health.get(address)
+        return health is None or health.may_connect
 
     async def request(
         self, address: str, message: Any, reply_type: type[ReplyT], *, timeout: float
@@ -103,10 +95,7 @@
 
     def note_answered(self, address: str) -> None:
         """Records an answer of a relay."""
-        state = self._states.setdefault(address, _RelayState())
-        state.failures = 0
-        state.paused_until = float("-inf")
-        state.answered_at = asyncio.get_running_loop().time()
+        self._health_of(address).note_answer()
 
     def note_late(self, address: str, sent_at: float) -> None:
         """Has other relays used for a moment, and pings one that has answered nothing since.
@@ -115,23 +104,21 @@
             address: Address of the relay.
             sent_at: Event-loop time, in seconds, at which the message was sent.
         """
-        state = self._states.setdefault(address, _RelayState())
-        if state.answered_at > sent_at:
+        health = self._health_of(address)
+        if health.answered_at is not None and health.answered_at > sent_at:
             return
-        now = asyncio.get_running_loop().time()
-        state.paused_until = max(state.paused_until, now + INITIAL_PAUSE_S)
+        health.pause(LATE_RELAY_PAUSE_S)
         if address not in self._pings:
             self._pings[address] = asyncio.create_task(self._ping(address))
 
     def note_failed(self, address: str, reason: str) -> None:
         """Records that a relay does not answer or stops; ends what waits for a silent one."""
-        state = self._states.setdefault(address, _RelayState())
-        if state.failures == 0:
+        health = self._health_of(address)
+        if health.available:
             log_event(Event.RELAY_UNAVAILABLE, address=address, reason=reason)
+        health.note_unreachable()
         now = asyncio.get_running_loop().time()
-        state.paused_until = now + min(INITIAL_PAUSE_S * 2**state.failures, MAX_PAUSE_S)
-        state.failures = min(state.failures + 1, 16)
-        if now - state.answered_at >= SILENT_RELAY_S:
+        if health.answered_at is None or now - health.answered_at >= SILENT_RELAY_S:
             self._transport.disconnect(address)
 
     def close(self) -> None:
@@ -140,6 +127,12 @@
             task.cancel()
         self._transport.close()
 
+    def _health_of(self, address: str) -> EndpointHealth:
+        health = self._health.get(address)
+        if health is None:
+            health = self._health[address] = EndpointHealth()
+        return health
+
     async def _ping(self, address: str) -> None:
         try:
             await self.request(address, RelayPing(), RelayReady, timeout=PING_TIMEOUT_S)
--- a/tests/gateway/test_member_pool.py
+++ b/tests/gateway/test_member_pool.py
@@ -8,7 +8,7 @@
 
 from tests.fakes import FakeNetwork
 from tests.gateway._members import ModelConnector, ModelGroup, ModelMember
-from wigeonpoint.connection.session import MemberHealth, PooledConnection
+from wigeonpoint.connection.session import EndpointHealth, PooledConnection
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.process.gateway._connection_quota import STARTUP_S
 from wigeonpoint.process.gateway._member_pool import MemberPool
@@ -111,7 +111,7 @@
 
     async def test_failures_during_a_partition_do_not_count_after_it(self) -> None:
         """Guards against replacing a new primary for failures seen during a network partition."""
-        health = MemberHealth()
+        health = EndpointHealth()
         health.note_unreachable()
         await asyncio.sleep(1.0)
         returned_at = asyncio.get_running_loop().time()
@@ -124,7 +124,7 @@
 
     async def test_suspect_is_tried_at_once_when_asked_to(self) -> None:
         """Guards against a member that stays unused for its whole pause after a partition."""
-        health = MemberHealth()
+        health = EndpointHealth()
         for _ in range(5):
             health.note_unreachable()
         assert not health.may_connect
