Give control calls a connection type of their own

A connection behind relays implemented four control calls that returned None and were never made. MemberConnection holds what carries statements now; ControlConnection adds the calls, and only connections to members have them.

--- a/src/wigeonpoint/connection/session/_protocols.py
+++ b/src/wigeonpoint/connection/session/_protocols.py
@@ -196,6 +196,14 @@
         """Clears session values and prepared statements."""
         ...
 
+    def close(self) -> None:
+        """Closes the connection; an open transaction is rolled back by the member."""
+        ...
+
+
+class ControlConnection(MemberConnection, Protocol):
+    """A connection to the member itself, which takes control calls too."""
+
     async def report(self) -> MemberReport | None:
         """Asks the member for its status; None if it is too busy to answer."""
         ...
@@ -212,10 +220,6 @@
         """Turns a primary of a lower term into a replica."""
         ...
 
-    def close(self) -> None:
-        """Closes the connection; an open transaction is rolled back by the member."""
-        ...
-
 
 class MemberConnector(Protocol):
     """Opens connections to members."""
@@ -238,6 +242,16 @@
         ...
 
 
+class ControlConnector(Protocol):
+    """Opens connections to members themselves; it is a `MemberConnector` as well."""
+
+    async def connect(
+        self, record: MemberRecord, *, timeout: float, verify: bool = True
+    ) -> ControlConnection:
+        """Opens a connection like `MemberConnector.connect`."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class OpenSession:
     """Message that opens a caller's session.
--- a/src/wigeonpoint/process/gateway/_platform.py
+++ b/src/wigeonpoint/process/gateway/_platform.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 from wigeonpoint.connection import PeerDispatcher, PeerTransport
-from wigeonpoint.connection.session import CallerConnection, MemberConnector
+from wigeonpoint.connection.session import CallerConnection, ControlConnector
 from wigeonpoint.services import Promoter, RowStore, VersionedRow
 from wigeonpoint.version.catalogue import Catalogue, MemberRecord
 
@@ -52,7 +52,7 @@
         ...
 
     @property
-    def connector(self) -> MemberConnector:
+    def connector(self) -> ControlConnector:
         """Opens connections to members."""
         ...
 
--- a/src/wigeonpoint/process/gateway/control/_member_control.py
+++ b/src/wigeonpoint/process/gateway/control/_member_control.py
@@ -6,9 +6,9 @@
 from collections.abc import Awaitable, Callable
 
 from wigeonpoint.connection.session import (
-    MemberConnection,
+    ControlConnection,
+    ControlConnector,
     MemberConnectionLost,
-    MemberConnector,
     MemberRefused,
     MemberReport,
     MemberUnreachable,
@@ -30,9 +30,9 @@
         connector: Opens connections to members.
     """
 
-    def __init__(self, connector: MemberConnector) -> None:
+    def __init__(self, connector: ControlConnector) -> None:
         self._connector = connector
-        self._idle: dict[str, MemberConnection] = {}
+        self._idle: dict[str, ControlConnection] = {}
         self._idle_timers: dict[str, asyncio.TimerHandle] = {}
 
     async def report(self, record: MemberRecord) -> MemberReport | None:
@@ -86,7 +86,7 @@
     async def _call(
         self,
         record: MemberRecord,
-        call: Callable[[MemberConnection], Awaitable[MemberReport | None]],
+        call: Callable[[ControlConnection], Awaitable[MemberReport | None]],
     ) -> MemberReport | None:
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
@@ -99,13 +99,13 @@
         self._keep_idle(record.id, connection)
         return answer
 
-    def _take_idle(self, member_id: str) -> MemberConnection | None:
+    def _take_idle(self, member_id: str) -> ControlConnection | None:
         timer = self._idle_timers.pop(member_id, None)
         if timer is not None:
             timer.cancel()
         return self._idle.pop(member_id, None)
 
-    def _keep_idle(self, member_id: str, connection: MemberConnection) -> None:
+    def _keep_idle(self, member_id: str, connection: ControlConnection) -> None:
         if member_id in self._idle:
             connection.close()  # a simultaneous call has already returned its connection
             return
--- a/src/wigeonpoint/process/gateway/relay/_connection.py
+++ b/src/wigeonpoint/process/gateway/relay/_connection.py
@@ -13,7 +13,6 @@
 from wigeonpoint.connection.session import (
     MemberAnswer,
     MemberConnectionLost,
-    MemberReport,
     RequestTerms,
 )
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
@@ -160,22 +159,6 @@
         self._prepared.clear()
         return _IDLE
 
-    async def report(self) -> MemberReport | None:
-        """Returns None: control calls use connections of their own."""
-        return None
-
-    async def suspend(self, term: int) -> MemberReport | None:
-        """Returns None: control calls use connections of their own."""
-        return None
-
-    async def resume(self) -> MemberReport | None:
-        """Returns None: control calls use connections of their own."""
-        return None
-
-    async def demote(self, term: int) -> MemberReport | None:
-        """Returns None: control calls use connections of their own."""
-        return None
-
     def close(self) -> None:
         """Closes the connection; the relay rolls back an open transaction."""
         if self._closed:
