--- a/src/wigeonpoint/process/gateway/_metrics.py
+++ b/src/wigeonpoint/process/gateway/_metrics.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from aioprometheus import Gauge, Registry, render
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
 from wigeonpoint.process._metrics_handler import MetricsHandler
 from wigeonpoint.process.gateway._gateway import Gateway
+from wigeonpoint.process.gateway._group import Group
+from wigeonpoint.process.gateway._member_pool import MemberPool
 
 METRICS_PATH = "/metrics"
 
@@ -74,45 +78,32 @@
             calls.set({"table": table}, feed.calls)
 
     def _add_members(self, registry: Registry) -> None:
-        text = "Connections by member and use."
-        connections = Gauge("wigeonpoint_member_connections", text, registry=registry)
-        text = "Connections opened and refused so far, by member."
-        opened = Gauge("wigeonpoint_member_connects_total", text, registry=registry)
-        text = "Statements that wait for a connection, by member."
-        waiting = Gauge("wigeonpoint_member_waiting", text, registry=registry)
+        pools = [
+            (self._member_labels(group, pool), pool)
+            for group in self._gateway.view.groups.values()
+            for pool in group.pools
+        ]
+        _add_pools(registry, "member", "", pools)
         text = "Whether fresh work goes to a member."
         available = Gauge("wigeonpoint_member_available", text, registry=registry)
         text = "Smoothed seconds of an answer, by member."
         latency = Gauge("wigeonpoint_member_latency_seconds", text, registry=registry)
-        for group in self._gateway.view.groups.values():
-            for pool in group.pools:
-                role = "primary" if pool.record.id == group.primary_id else "replica"
-                labels = {"group": group.name, "member": pool.record.id, "role": role}
-                connections.set({**labels, "use": "open"}, pool.open)
-                connections.set({**labels, "use": "in_use"}, pool.in_use)
-                opened.set({**labels, "result": "opened"}, pool.opened)
-                opened.set({**labels, "result": "refused"}, pool.refused)
-                waiting.set(labels, pool.waiting)
-                available.set(labels, float(pool.health.available))
-                latency.set(labels, pool.latency.mean_s)
+        for labels, pool in pools:
+            available.set(labels, float(pool.health.available))
+            latency.set(labels, pool.latency.mean_s)
 
     def _add_relay(self, registry: Registry) -> None:
         relay = self._gateway.relay
-        text = "Connections that this instance holds as a relay, by member and use."
-        connections = Gauge("wigeonpoint_relay_connections", text, registry=registry)
-        text = "Connections opened and refused so far as a relay, by member."
-        opened = Gauge("wigeonpoint_relay_connects_total", text, registry=registry)
-        text = "Statements that wait at this relay for a connection, by member."
-        waiting = Gauge("wigeonpoint_relay_waiting", text, registry=registry)
+        pools = [({"member": member_id}, pool) for member_id, pool in relay.pools.items()]
+        _add_pools(registry, "relay", " as a relay", pools)
         text = "Open transactions of other instances' callers."
         transactions = Gauge("wigeonpoint_relay_transactions", text, registry=registry)
         transactions.set({}, relay.transactions)
-        for member_id, pool in relay.pools.items():
-            connections.set({"member": member_id, "use": "open"}, pool.open)
-            connections.set({"member": member_id, "use": "in_use"}, pool.in_use)
-            opened.set({"member": member_id, "result": "opened"}, pool.opened)
-            opened.set({"member": member_id, "result": "refused"}, pool.refused)
-            waiting.set({"member": member_id}, pool.waiting)
+
+    @staticmethod
+    def _member_labels(group: Group, pool: MemberPool) -> dict[str, str]:
+        role = "primary" if pool.record.id == group.primary_id else "replica"
+        return {"group": group.name, "member": pool.record.id, "role": role}
 
     def _add_retries(self, registry: Registry) -> None:
         budgets = self._gateway.router.budgets
@@ -122,6 +113,34 @@
         retries.set({"result": "refused"}, budgets.refusals)
 
 
+def _add_pools(
+    registry: Registry,
+    prefix: str,
+    purpose: str,
+    pools: Iterable[tuple[dict[str, str], MemberPool]],
+) -> None:
+    """Adds the gauges that every kind of pool has.
+
+    Args:
+        registry: Where to add them.
+        prefix: Part of the metrics' names that tells the kind of pool.
+        purpose: The same for their help texts.
+        pools: The pools, with the labels that tell them apart.
+    """
+    text = f"Connections{purpose} by member and use."
+    connections = Gauge(f"wigeonpoint_{prefix}_connections", text, registry=registry)
+    text = f"Connections opened and refused so far{purpose}, by member."
+    opened = Gauge(f"wigeonpoint_{prefix}_connects_total", text, registry=registry)
+    text = f"Statements that wait{purpose} for a connection, by member."
+    waiting = Gauge(f"wigeonpoint_{prefix}_waiting", text, registry=registry)
+    for labels, pool in pools:
+        connections.set({**labels, "use": "open"}, pool.open)
+        connections.set({**labels, "use": "in_use"}, pool.in_use)
+        opened.set({**labels, "result": "opened"}, pool.opened)
+        opened.set({**labels, "result": "refused"}, pool.refused)
+        waiting.set(labels, pool.waiting)
+
+
 def serve_metrics(metrics: GatewayMetrics, host: str, port: int) -> HTTPServer:
     """Serves the metrics until the server is stopped.
 
