Look at the newest sample only to see whether one is recent enough

Before each read, refresh_samples searched all samples for the oldest usable one, which the read then searched for again. The newest one tells the same.

--- a/src/wigeonpoint/process/gateway/_group.py
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -196,8 +196,9 @@
         primary = self.primary
         if route.consistency is Consistency.CURRENT or route.max_age_s is None or primary is None:
             return
-        now = asyncio.get_running_loop().time()
-        if self.read_requirement(route, None, now) is not PRIMARY_ONLY:
+        newest = self.newest_sample()
+        oldest_allowed_at = _oldest_sample_time(route.max_age_s, asyncio.get_running_loop().time())
+        if newest is not None and newest.sent_at >= oldest_allowed_at:
             return
         if self._fetching is None:
             self._fetching = asyncio.create_task(self._fetch_sample(primary.record))
@@ -224,7 +225,7 @@
         if route.consistency is Consistency.CURRENT or route.max_age_s is None:
             return PRIMARY_ONLY
         self._drop_samples_after_suspension()
-        sample = self.samples.oldest_since(now - route.max_age_s + SAMPLE_AGE_MARGIN_S)
+        sample = self.samples.oldest_since(_oldest_sample_time(route.max_age_s, now))
         if sample is None:
             return PRIMARY_ONLY
         position = sample.position
@@ -328,3 +329,8 @@
         return self._progress[member_id].has_probably_applied(
             requirement.position, now, first_seen_at=first_seen_at
         )
+
+
+def _oldest_sample_time(max_age_s: float, now: float) -> float:
+    """Event-loop time, in seconds, since which a sample must have been sent for a read."""
+    return now - max_age_s + SAMPLE_AGE_MARGIN_S
