--- a/src/wigeonpoint/process/gateway/_session_service.py
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -80,11 +80,6 @@
         """Number of open sessions."""
         return len(self._sessions)
 
-    @property
-    def busy_sessions(self) -> int:
-        """Number of sessions with a statement in progress or an open transaction."""
-        return sum(1 for session in self._sessions if self._is_busy(session))
-
     def close_idle(self, max_sessions: int) -> None:
         """Closes sessions without a statement in progress or a transaction, longest idle first.
 
