--- a/tests/gateway/_cluster.py
+++ b/tests/gateway/_cluster.py
@@ -9,7 +9,8 @@
 from types import TracebackType
 
 from tests.fakes import FakeNetwork
-from tests.gateway._members import ModelConnector, ModelGroup, ModelMember
+from tests.gateway._member_connections import ModelConnector
+from tests.gateway._members import ModelGroup, ModelMember
 from tests.gateway._platform import (
     NAMES,
     STORE,
--- a/tests/gateway/_platform.py
+++ b/tests/gateway/_platform.py
@@ -10,7 +10,8 @@
 import orjson
 
 from tests.fakes import FakeNetwork, FakeTransport
-from tests.gateway._members import ModelConnector, ModelGroup
+from tests.gateway._member_connections import ModelConnector
+from tests.gateway._members import ModelGroup
 from wigeonpoint.backend import MemberRole
 from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.errors import ConditionFailed, StoreUnavailable
--- a/tests/gateway/test_member_pool.py
+++ b/tests/gateway/test_member_pool.py
@@ -7,7 +7,8 @@
 import pytest
 
 from tests.fakes import FakeNetwork
-from tests.gateway._members import ModelConnector, ModelGroup, ModelMember
+from tests.gateway._member_connections import ModelConnector
+from tests.gateway._members import ModelGroup, ModelMember
 from wigeonpoint.connection.session import EndpointHealth, PooledConnection
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.process.gateway._connection_quota import STARTUP_S
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -5,6 +5,7 @@
 import pytest
 
 from tests.gateway._cluster import GatewayCluster
+from tests.gateway._relayed_fleet import RelayedFleet
 from wigeonpoint.process.gateway import GatewayMetrics
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -34,3 +35,13 @@
             assert "wigeonpoint_instances 3" in text
             assert 'member="m-chur",role="primary"' in text
             assert 'wigeonpoint_store_calls_total{table="members"}' in text
+
+    async def test_connections_of_a_relay_are_shown(self) -> None:
+        """Guards against a relay whose queue is seen by no metric."""
+        async with RelayedFleet() as fleet:
+            gateway = fleet.nodes[fleet.relays()[0]].gateway
+            text = GatewayMetrics(gateway).render([])[0].decode()
+            assert 'wigeonpoint_relay_connections{member="m-chur",use="open"} 2' in text
+            assert 'wigeonpoint_relay_connects_total{member="m-chur",result="opened"} 2' in text
+            assert 'wigeonpoint_relay_waiting{member="m-chur"} 0' in text
+            assert "wigeonpoint_relay_transactions 0" in text
--- a/tests/gateway/test_overload.py
+++ b/tests/gateway/test_overload.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests.gateway._cluster import Caller, GatewayCluster
-from tests.gateway.test_relay import grow
+from tests.gateway._cluster import Caller
+from tests.gateway._relayed_fleet import RelayedFleet
 from wigeonpoint.process.gateway._statement_limit import DECREASE_INTERVAL_S, StatementLimit
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -38,11 +38,12 @@
         Each refused statement used to be sent again, so that a full member spent its time on
         refusals and callers waited until their deadlines.
         """
-        async with GatewayCluster() as cluster:
-            names = await grow(cluster)
-            member = cluster.member("chur")
+        async with RelayedFleet() as fleet:
+            member = fleet.member("chur")
             member.slots, member.queue, member.statement_s = SLOTS, QUEUE, STATEMENT_S
-            callers = [await cluster.caller(name, "current") for name in names for _ in range(6)]
+            callers = [
+                await fleet.caller(name, "current") for name in fleet.nodes for _ in range(6)
+            ]
             arrived, refused = member.arrived, member.refused
             end = asyncio.get_running_loop().time() + LOAD_S
             seconds: list[float] = []
--- a/tests/gateway/test_reads.py
+++ b/tests/gateway/test_reads.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
+from typing import Any
 
 import pytest
 
@@ -176,19 +178,19 @@
     """Choice among the members that may serve a read."""
 
     @staticmethod
-    def candidate(member_id: str, **changes: object) -> ReadCandidate:
+    def candidate(member_id: str, **changes: Any) -> ReadCandidate:
         """Returns a candidate that answers in 10 ms."""
-        fields: dict[str, object] = {
-            "member_id": member_id,
-            "primary": False,
-            "local": True,
-            "proven": True,
-            "available": True,
-            "queued": 0,
-            "slots": 2,
-            "latency_s": 0.01,
-        }
-        return ReadCandidate(**(fields | changes))  # type: ignore[arg-type]
+        usual = ReadCandidate(
+            member_id,
+            primary=False,
+            local=True,
+            proven=True,
+            available=True,
+            queued=0,
+            slots=2,
+            latency_s=0.01,
+        )
+        return replace(usual, **changes)
 
     def test_flood_of_reads_spreads_over_the_members(self) -> None:
         """Guards against a flood that queues at one member while others are free."""
--- a/tests/userplatform/_servers.py
+++ b/tests/userplatform/_servers.py
@@ -13,7 +13,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from tests.gateway._members import ModelConnection, ModelGroup, ModelMember
+from tests.gateway._member_connections import ModelConnection
+from tests.gateway._members import ModelGroup, ModelMember
 from tests.gateway._platform import ModelStore
 from wigeonpoint.backend import MemberRole
 from wigeonpoint.connection.session import MemberAnswer, MemberConnectionLost, MemberFault
