Log a restore of the platform's store

The store tells in each answer how often it has been restored from an older copy. Without a log line for it, a feed whose history is lost looks the same after a restore, a compaction and a long cut, so the hypotheses on late configurations could not be told apart. Event 218 is logged when the number rises; the answers are used as before. The model of the store can be restored, too.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -92,6 +92,7 @@
     CATALOGUE_APPLIED = (213, logging.INFO, "new routes and services are active")
     ROW_UNREADABLE = (214, logging.WARNING, "a row of the store cannot be read and is ignored")
     MEMBERS_CHANGED = (215, logging.INFO, "member removed from the directory")
+    STORE_RESTORED = (218, logging.WARNING, "the platform's store was restored from an older copy")
 
     def __init__(self, number: int, level: int, sentence: str) -> None:
         self.number = number
--- a/src/wigeonpoint/platform/_http.py
+++ b/src/wigeonpoint/platform/_http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine, ResponseStartLine
@@ -24,10 +24,12 @@
     Attributes:
         status: HTTP status code.
         body: Response body.
+        headers: Header fields; names are matched without regard to case.
     """
 
     status: int
     body: bytes
+    headers: HTTPHeaders = field(default_factory=HTTPHeaders)
 
 
 class HttpClient:
@@ -94,6 +96,7 @@
 
     def __init__(self) -> None:
         self.status = 0
+        self.headers = HTTPHeaders()
         self._chunks: list[bytes] = []
         self.complete = False
 
@@ -102,6 +105,7 @@
     ) -> None:
         if isinstance(start_line, ResponseStartLine):
             self.status = start_line.code
+            self.headers = headers
 
     def data_received(self, chunk: bytes) -> None:
         self._chunks.append(chunk)
@@ -135,7 +139,7 @@
     if not collector.complete:
         raise StreamClosedError()
     connection.detach()
-    return HttpResponse(collector.status, collector.body)
+    return HttpResponse(collector.status, collector.body, collector.headers)
 
 
 def _close(stream: IOStream | None) -> None:
--- a/src/wigeonpoint/platform/_store.py
+++ b/src/wigeonpoint/platform/_store.py
@@ -24,6 +24,7 @@
 FEED_MARGIN_S = 1.0  # added to the time for which the feed may hold its response back
 _STATUS_HISTORY_LOST = 410
 _STATUS_CONDITION_FAILED = 412
+_ERA_HEADER = "Store-Era"  # raised each time the store is restored from an older copy
 
 
 class PlatformRowStore:
@@ -37,6 +38,7 @@
 
     def __init__(self, client: HttpClient) -> None:
         self._client = client
+        self._era: int | None = None  # the newest that the store has named
 
     async def read(self, table: str) -> RowsRead:
         """Reads all rows of a table, page by page.
@@ -96,7 +98,7 @@
             ],
             "remove": [_encode_key(key) for key in transaction.deletes],
         }
-        response = await self._client.request(
+        response = await self._request(
             "POST", "/rows-tx", body=orjson.dumps(body), timeout=CALL_TIMEOUT_S
         )
         if response.status == _STATUS_CONDITION_FAILED:
@@ -104,7 +106,17 @@
         return _version(_decode_body(response))
 
     async def _get(self, path: str, query: dict[str, Any], *, timeout: float) -> HttpResponse:
-        return await self._client.request("GET", f"{path}?{urlencode(query)}", timeout=timeout)
+        return await self._request("GET", f"{path}?{urlencode(query)}", timeout=timeout)
+
+    async def _request(
+        self, method: str, path: str, *, body: bytes = b"", timeout: float
+    ) -> HttpResponse:
+        response = await self._client.request(method, path, body=body, timeout=timeout)
+        era = _era(response)
+        if self._era is not None and era > self._era:
+            log_event(Event.STORE_RESTORED, era=era, known_era=self._era)
+        self._era = era if self._era is None else max(era, self._era)
+        return response
 
 
 def _encode_key(key: RowKey) -> dict[str, str]:
@@ -123,6 +135,14 @@
     return body
 
 
+def _era(response: HttpResponse) -> int:
+    """Number of times that the store has been restored, 0 if it does not tell."""
+    value = response.headers.get(_ERA_HEADER, "0")
+    if not value.isdecimal():
+        raise StoreUnavailable(f"the store's {_ERA_HEADER} header is not a number: {value!r}")
+    return int(value)
+
+
 def _version(body: dict[str, Any]) -> int:
     version = body.get("ver")
     if not isinstance(version, int):
--- a/tests/gateway/_platform.py
+++ b/tests/gateway/_platform.py
@@ -44,6 +44,7 @@
 
     Attributes:
         oldest_in_history: Version up to which the history has been dropped.
+        era: Number of restores so far, None for a store that does not tell it.
         down: Whether it is unavailable to all.
         lose_answers: Number of next commits whose answers are lost after they were applied.
         silent_s: Seconds after which a call that is not answered fails.
@@ -54,6 +55,7 @@
     history: list[VersionedRow] = field(default_factory=list)
     version: int = 1
     oldest_in_history: int = 0
+    era: int | None = 0
     down: bool = False
     lose_answers: int = 0
     silent_s: float = UNREACHABLE_TIMEOUT_S
@@ -73,6 +75,25 @@
         self.oldest_in_history = self.version
         self._notify_waiters()
 
+    def restore(self, version: int) -> None:
+        """Goes back to a copy that was taken at a version; later versions are given out again."""
+        assert self.era is not None
+        self.era += 1
+        self.history = [row for row in self.history if row.version <= version]
+        self.rows = {}
+        for row in self.history:
+            key = RowKey(row.table, row.key)
+            if row.deleted:
+                self.rows.pop(key, None)
+            else:
+                self.rows[key] = row
+        self.version = version
+        self._notify_waiters()
+
+    def has_history(self, version: int) -> bool:
+        """Whether all changes after a version are still known."""
+        return self.oldest_in_history <= version <= self.version
+
     def commit(self, transaction: RowTransaction) -> int:
         """Applies a conditional transaction."""
         for key, version in transaction.expected.items():
@@ -131,7 +152,7 @@
         await self._delay_call()
         end = asyncio.get_running_loop().time() + wait_s
         while True:
-            if after < self._store.oldest_in_history:
+            if not self._store.has_history(after):
                 raise HistoryLost
             rows = [
                 row for row in self._store.history if row.table == table and row.version > after
--- a/tests/userplatform/_servers.py
+++ b/tests/userplatform/_servers.py
@@ -208,6 +208,8 @@
         self.platform = platform
 
     def prepare(self) -> None:
+        if self.platform.store.era is not None:
+            self.set_header("Store-Era", str(self.platform.store.era))
         if self.platform.forced_status is not None:
             self.set_status(self.platform.forced_status)
             self.finish()
@@ -247,7 +249,7 @@
         end = asyncio.get_running_loop().time() + int(self.get_argument("waitMs")) / 1000
         store = self.platform.store
         while True:
-            if after < store.oldest_in_history:
+            if not store.has_history(after):
                 self.set_status(410)
                 return
             rows = [row for row in store.history if row.table == table and row.version > after]
--- a/tests/userplatform/test_store.py
+++ b/tests/userplatform/test_store.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterator
 
 import pytest
 
 from tests.userplatform._servers import PlatformServer, free_port
 from wigeonpoint.errors import ConditionFailed, StoreUnavailable
+from wigeonpoint.events import Event
 from wigeonpoint.platform._http import HttpClient
 from wigeonpoint.platform._store import PlatformRowStore
 from wigeonpoint.services import HistoryLost, RowKey, RowTransaction
@@ -76,3 +78,17 @@
         store = PlatformRowStore(HttpClient(f"127.0.0.1:{free_port()}"))
         with pytest.raises(StoreUnavailable):
             await store.read("mine")
+
+    async def test_restored_store_is_logged(
+        self, server: PlatformServer, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """Guards against a restore of the store that no log line shows."""
+        store = PlatformRowStore(HttpClient(server.address))
+        copied_at = server.store.version
+        server.store.put("mine", "a", b"1")
+        await store.read("mine")
+        server.store.restore(copied_at)
+        with caplog.at_level(logging.WARNING):
+            await store.read("mine")
+            await store.read("mine")
+        assert [record.event for record in caplog.records] == [Event.STORE_RESTORED.number]
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -115,6 +115,10 @@
     "CATALOGUE_APPLIED": "A new version of routes and services is active on this instance.",
     "ROW_UNREADABLE": "A row, route or entry cannot be read; the others stay in use.",
     "MEMBERS_CHANGED": "The member's entry was deleted or has expired; it gets no more statements.",
+    "STORE_RESTORED": (
+        "What was written since the copy is gone and versions are given out again; the tables are "
+        "read anew."
+    ),
     "SETTINGS_READ": "The settings file was read after SIGHUP and is valid.",
     "SETTINGS_REFUSED": ("The changed settings file is invalid; the process keeps the old values."),
     "TABLE_COPIED": "This instance's feed is behind; another instance had newer rows.",
