Add failing tests of changes after the store was restored

Routes that are added after a restore are not active on any instance three seconds later, and the feeds repeat two calls without a pause: 22,491 calls in ten seconds after the restore, 9 in ten seconds before it.

--- a/tests/gateway/_cluster.py
+++ b/tests/gateway/_cluster.py
@@ -141,6 +141,7 @@
         self.nodes: dict[str, Node] = {}
         self._report_task: asyncio.Task[None] | None = None
         self.config_version = 1
+        self._configuration = b""
         # Seconds for which an instance's machine was suspended, which the event loop did not count.
         self.suspended_s: dict[str, float] = {}
         for index, data_centre in enumerate(DATA_CENTRES):
@@ -172,8 +173,12 @@
     def configure(self, routes: dict[str, tuple[str, str]], **timeouts: float) -> None:
         """Writes the next version of the catalogue."""
         self.config_version += 1
-        value = encode_catalogue(self.config_version, routes, **timeouts)
-        self.store.put(NAMES.operators, NAMES.catalogue_key, value)
+        self._configuration = encode_catalogue(self.config_version, routes, **timeouts)
+        self.rewrite_configuration()
+
+    def rewrite_configuration(self) -> None:
+        """Writes the newest version of the catalogue again."""
+        self.store.put(NAMES.operators, NAMES.catalogue_key, self._configuration)
 
     def start(self, name: str, data_centre: str) -> Gateway:
         """Starts a gateway."""
--- /dev/null
+++ b/tests/gateway/test_store_restore.py
@@ -0,0 +1,86 @@
+"""Tests of gateways whose store is restored from an older copy."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.gateway._cluster import ROUTES, SERVICE, GatewayCluster
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+APPLY_S = 3.0  # an acknowledged change is active everywhere within this time
+OUTAGE_S = 2.0
+REWRITE_S = 0.3  # after the outage, operators and members have written their rows again
+
+
+def routes(*added: str) -> dict[str, tuple[str, str]]:
+    """The usual routes and further ones."""
+    return {**ROUTES, **dict.fromkeys(added, (SERVICE, "CURRENT"))}
+
+
+async def restore(
+    cluster: GatewayCluster, copied_at: int, *, outage_s: float = OUTAGE_S, rewrite: bool = True
+) -> None:
+    """Takes the store away, restores it, and has operators and members write their rows again."""
+    cluster.store.down = True
+    await asyncio.sleep(outage_s)
+    cluster.store.restore(copied_at)
+    cluster.store.down = False
+    if rewrite:
+        await asyncio.sleep(REWRITE_S)
+        cluster.rewrite_configuration()
+
+
+def behind(cluster: GatewayCluster, route: str) -> list[str]:
+    """Names of the instances on which a route is not active."""
+    return [
+        name
+        for name, node in cluster.nodes.items()
+        if route not in node.gateway.view.catalogue().routes
+    ]
+
+
+class TestConfiguration:
+    """Changes of the configuration around a restore."""
+
+    @pytest.mark.parametrize("outage_s", [0.0, OUTAGE_S])
+    async def test_change_after_a_restore_is_active_in_time(self, outage_s: float) -> None:
+        """Guards against feeds that ignore all rows whose versions are given out again."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            for number in range(20):
+                cluster.configure(routes(f"r{number}"))
+                await asyncio.sleep(0.2)
+            await restore(cluster, copied_at, outage_s=outage_s)
+            cluster.configure(routes("added"))
+            await asyncio.sleep(APPLY_S)
+            assert not behind(cluster, "added")
+
+    async def test_accepted_change_stays_active_until_it_is_written_again(self) -> None:
+        """Guards against a configuration that reverts to the one in the copy."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            cluster.configure(routes("accepted"))
+            await asyncio.sleep(0.5)
+            await restore(cluster, copied_at, rewrite=False)
+            for _ in range(20):
+                await asyncio.sleep(0.1)
+                assert not behind(cluster, "accepted")
+
+    async def test_store_is_not_called_without_a_pause(self) -> None:
+        """Guards against feeds that repeat a call of which the store has lost the history."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            for number in range(20):
+                cluster.configure(routes(f"r{number}"))
+                await asyncio.sleep(0.2)
+            calm_calls = cluster.store.calls
+            await asyncio.sleep(10.0)
+            calm_calls = cluster.store.calls - calm_calls
+            await restore(cluster, copied_at, outage_s=0.0)
+            calls = cluster.store.calls
+            await asyncio.sleep(10.0)
+            reads_anew = 3 * len(cluster.nodes)
+            assert cluster.store.calls - calls <= 2 * (calm_calls + 2 * reads_anew)
