Order the store's versions by era, so that changes after a restore are applied

Callers saw: requests handled by an older configuration for good after the store had come back from a copy, although a newer one had been acknowledged (CONFIG). Cause: every copy of a table is ordered by the store's version alone. After a restore versions are lower; the feed's version has no history (410), the table that is then read counts as older and is dropped, and both calls are repeated without a pause. Change: a version is the store's era and the number in it, packed into one integer by the client of the store, so that all comparisons of rows, copies and peers' copies follow. A feed answer of another era is lost history; pages of two eras are not joined; a condition from an earlier era leaves the outcome open. A renewal of the lease no longer counts if the store had only its own copy to offer. Reads of the whole table after lost history are paced.

--- a/src/wigeonpoint/platform/_store.py
+++ b/src/wigeonpoint/platform/_store.py
@@ -18,10 +18,14 @@
     RowsRead,
     RowTransaction,
     VersionedRow,
+    era_of,
+    make_version,
+    number_of,
 )
 
 CALL_TIMEOUT_S = 1.0
 FEED_MARGIN_S = 1.0  # added to the time for which the feed may hold its response back
+READ_ATTEMPTS = 3  # of a table, when the store is restored between two of its pages
 _STATUS_HISTORY_LOST = 410
 _STATUS_CONDITION_FAILED = 412
 _ERA_HEADER = "Store-Era"  # raised each time the store is restored from an older copy
@@ -46,17 +50,26 @@
         Raises:
             StoreUnavailable: No usable response arrived in time.
         """
+        for _ in range(READ_ATTEMPTS):
+            read = await self._read_pages(table)
+            if read is not None:
+                return read
+        raise StoreUnavailable(f"the store was restored during each read of the table {table}")
+
+    async def _read_pages(self, table: str) -> RowsRead | None:
+        """Reads a table; returns None if its pages come from different eras."""
         rows: list[VersionedRow] = []
         start = ""
         version: int | None = None
         while True:
             query = {"table": table, "part": "", **({"from": start} if start else {})}
-            response = await self._get("/rows-get", query, timeout=CALL_TIMEOUT_S)
-            page = _decode_body(response)
-            rows += [row for row in _rows(page) if not rows or row.key > rows[-1].key]
+            page = _Page(await self._get("/rows-get", query, timeout=CALL_TIMEOUT_S))
             # The first page has the oldest version; the feed delivers all changes after it.
-            version = _version(page) if version is None else version
-            if not page.get("hasMore") or not rows:
+            version = page.version if version is None else version
+            if era_of(page.version) != era_of(version):
+                return None
+            rows += [row for row in page.rows if not rows or row.key > rows[-1].key]
+            if not page.has_more or not rows:
                 return RowsRead(rows, version)
             start = rows[-1].key  # the next page repeats this row
 
@@ -69,27 +82,29 @@
             wait_s: Seconds for which the store may wait for a change.
 
         Raises:
-            HistoryLost: The store no longer holds all changes after that version.
+            HistoryLost: The store does not hold all changes after that version.
             StoreUnavailable: No usable response arrived in time.
         """
-        query = {"table": table, "after": after, "waitMs": int(wait_s * 1000)}
+        query = {"table": table, "after": number_of(after), "waitMs": int(wait_s * 1000)}
         response = await self._get("/rows-feed", query, timeout=wait_s + FEED_MARGIN_S)
-        if response.status == _STATUS_HISTORY_LOST:
+        # In another era the same number stands for another state of the store.
+        if response.status == _STATUS_HISTORY_LOST or _era(response) != era_of(after):
             raise HistoryLost
-        body = _decode_body(response)
-        return RowsRead(_rows(body), _version(body))
+        page = _Page(response)
+        return RowsRead(page.rows, page.version)
 
     async def commit(self, transaction: RowTransaction) -> int:
         """Applies a transaction and returns its version.
 
         Raises:
             ConditionFailed: A row has another version than expected; nothing was changed.
-            StoreUnavailable: No usable response arrived; the transaction may have been applied,
-                or may be applied later while its condition still holds.
+            StoreUnavailable: No usable response arrived, or the store was restored after the
+                expected versions had been read; the transaction may have been applied, or may be
+                applied later while its condition still holds.
         """
         body = {
             "expected": [
-                {**_encode_key(key), "ver": version}
+                {**_encode_key(key), "ver": number_of(version)}
                 for key, version in transaction.expected.items()
             ],
             "puts": [
@@ -103,7 +118,11 @@
         )
         if response.status == _STATUS_CONDITION_FAILED:
             raise ConditionFailed("a row has another version than expected")
-        return _version(_decode_body(response))
+        version = _Page(response).version
+        expected = {era_of(expected) for expected in transaction.expected.values() if expected}
+        if expected - {era_of(version)}:
+            raise StoreUnavailable("the store was restored since the expected rows were read")
+        return version
 
     async def _get(self, path: str, query: dict[str, Any], *, timeout: float) -> HttpResponse:
         return await self._request("GET", f"{path}?{urlencode(query)}", timeout=timeout)
@@ -143,24 +162,32 @@
     return int(value)
 
 
-def _version(body: dict[str, Any]) -> int:
-    version = body.get("ver")
-    if not isinstance(version, int):
-        raise StoreUnavailable("the store's answer has no version")
-    return version
-
-
-def _rows(body: dict[str, Any]) -> list[VersionedRow]:
-    rows = body.get("rows")
-    decoded = [_row(entry) for entry in rows] if isinstance(rows, list) else []
-    return [row for row in decoded if row is not None]
+class _Page:
+    """Rows and version of a response, with all versions in the era of the response."""
 
-
-def _row(entry: Any) -> VersionedRow | None:
-    try:
-        deleted = bool(entry.get("deleted"))
-        value = b"" if deleted else base64.b64decode(entry["value"])
-        return VersionedRow(entry["table"], entry["key"], value, int(entry["ver"]), deleted)
-    except (AttributeError, KeyError, TypeError, ValueError, binascii.Error) as error:
-        log_event(Event.ROW_UNREADABLE, row=repr(entry)[:200], problem=repr(error))
-        return None
+    def __init__(self, response: HttpResponse) -> None:
+        body = _decode_body(response)
+        self._era = _era(response)
+        self.version = self._decode_version(body.get("ver"))
+        self.has_more = bool(body.get("hasMore"))
+        rows = body.get("rows")
+        decoded = [self._decode_row(entry) for entry in rows] if isinstance(rows, list) else []
+        self.rows = [row for row in decoded if row is not None]
+
+    def _decode_version(self, number: Any) -> int:
+        if not isinstance(number, int):
+            raise StoreUnavailable("the store's answer has no version")
+        try:
+            return make_version(self._era, number)
+        except ValueError as error:
+            raise StoreUnavailable(f"the store's answer is not valid: {error}") from error
+
+    def _decode_row(self, entry: Any) -> VersionedRow | None:
+        try:
+            deleted = bool(entry.get("deleted"))
+            value = b"" if deleted else base64.b64decode(entry["value"])
+            version = make_version(self._era, int(entry["ver"]))
+            return VersionedRow(entry["table"], entry["key"], value, version, deleted)
+        except (AttributeError, KeyError, TypeError, ValueError, binascii.Error) as error:
+            log_event(Event.ROW_UNREADABLE, row=repr(entry)[:200], problem=repr(error))
+            return None
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -13,7 +13,7 @@
 from wigeonpoint.process.gateway._suspension import Clock
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.relay import RelayingConnector, RelayLinks
-from wigeonpoint.services import VersionedRow
+from wigeonpoint.services import VersionedRow, number_of
 from wigeonpoint.version.catalogue import (
     ActiveCatalogue,
     Catalogue,
@@ -168,7 +168,8 @@
                 Event.CATALOGUE_APPLIED,
                 version=catalogue.version,
                 routes=len(catalogue.routes),
-                store_version=self.operators.version,
+                store_version=number_of(self.operators.version),
+                store_era=self.operators.era,
             )
         self._signal_loaded()
 
--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -8,7 +8,15 @@
 
 from wigeonpoint.errors import StoreUnavailable
 from wigeonpoint.events import Event, log_event
-from wigeonpoint.services import HistoryLost, RowsRead, RowStore, VersionedRow
+from wigeonpoint.services import (
+    HistoryLost,
+    RowsRead,
+    RowStore,
+    VersionedRow,
+    era_of,
+    make_version,
+    version_fields,
+)
 
 FEED_WAIT_S = 8.0  # every call is charged, and a lost connection is noticed after this
 INITIAL_RETRY_PAUSE_S = 0.1
@@ -18,6 +26,7 @@
 # The feed waits this long after a change, so that one call fetches changes in quick succession, as
 # when many instances start.
 CHANGE_BATCH_S = 0.1
+POLL_ATTEMPTS = 2  # the second one follows a read of the whole table
 
 OnChange = Callable[[], None]
 
@@ -54,6 +63,8 @@
         self._reachable = True
         self._recovered_at = float("-inf")
         self._retry_pause_s = INITIAL_RETRY_PAUSE_S
+        self._reread_pause_s = 0.0
+        self._era_read_at = 0
         self._task: asyncio.Task[None] | None = None
         self.calls = 0
 
@@ -72,6 +83,16 @@
         """Store version of the table's last known change."""
         return self._changed
 
+    @property
+    def era(self) -> int:
+        """Number of restores of the store that the copy follows."""
+        return era_of(self._version)
+
+    @property
+    def era_read_at(self) -> int:
+        """Version of this era's first copy; later rows were written after the restore."""
+        return self._era_read_at
+
     @property
     def loaded(self) -> bool:
         """Whether the whole table has been read once."""
@@ -84,7 +105,7 @@
 
     @property
     def stable(self) -> bool:
-        """Whether the store has answered for a while without a failure."""
+        """Whether the store has answered for a while without a failure or a restore."""
         now = asyncio.get_running_loop().time()
         return self._reachable and now - self._recovered_at > STABLE_AFTER_S
 
@@ -131,55 +152,66 @@
         """Asks the store for changes without waiting for new ones.
 
         Raises:
-            StoreUnavailable: There was no usable answer.
+            StoreUnavailable: There was no usable answer, or none that completes the copy.
         """
-        self.calls += 1
-        try:
-            changes = await self._store.changes(self._table, after=self._version, wait_s=0.0)
-        except HistoryLost:
-            changes = None
-        if changes is None:
-            self.calls += 1
-            self._replace(await self._store.read(self._table))
-        else:
-            self._apply_changes(changes)
+        for _ in range(POLL_ATTEMPTS):
+            try:
+                self._apply_changes(await self._fetch_changes(wait_s=0.0))
+            except HistoryLost:
+                await self._read_table()
+            else:
+                return
+        raise StoreUnavailable(f"the store has no changes after its own copy of {self._table}")
 
     async def _follow(self) -> None:
-        read_whole_table = not self._loaded
         while True:
             if self._loaded and not self._follows():
                 await asyncio.sleep(FOLLOW_CHECK_INTERVAL_S)
                 continue
             try:
-                read_whole_table = await self._poll_once(read_whole_table)
+                if self._loaded:
+                    await self._follow_changes()
+                else:
+                    await self._read_table()
             except StoreUnavailable as error:
                 await self._handle_failure(error)
-                read_whole_table = not self._loaded
             else:
                 self._handle_answer()
 
-    async def _poll_once(self, read_whole_table: bool) -> bool:
-        """Makes one call; returns whether the next one must read the whole table."""
-        self.calls += 1
-        if read_whole_table:
-            self._replace(await self._store.read(self._table))
-            return False
+    async def _follow_changes(self) -> None:
+        """Waits for changes; reads the whole table if the store does not have them."""
         try:
-            changes = await self._store.changes(
-                self._table, after=self._version, wait_s=FEED_WAIT_S
-            )
+            changes = await self._fetch_changes(wait_s=FEED_WAIT_S)
         except HistoryLost:
-            log_event(Event.HISTORY_LOST, table=self._table, version=self._version)
-            return True
+            log_event(Event.HISTORY_LOST, table=self._table, **version_fields(self._version))
+            await self._reread_table()
+            return
+        self._reread_pause_s = 0.0
         self._apply_changes(changes)
         if changes.rows:
             await asyncio.sleep(CHANGE_BATCH_S)
-        return False
+
+    async def _fetch_changes(self, *, wait_s: float) -> RowsRead:
+        self.calls += 1
+        return await self._store.changes(self._table, after=self._version, wait_s=wait_s)
+
+    async def _read_table(self) -> None:
+        self.calls += 1
+        self._replace(await self._store.read(self._table))
+
+    async def _reread_table(self) -> None:
+        """Reads the whole table, after a growing pause if the last read brought no changes back."""
+        await asyncio.sleep(self._reread_pause_s * self._random.uniform(0.7, 1.3))
+        pause_s = max(2 * self._reread_pause_s, INITIAL_RETRY_PAUSE_S)
+        self._reread_pause_s = min(pause_s, MAX_RETRY_PAUSE_S)
+        await self._read_table()
 
     def _replace(self, read: RowsRead) -> None:
         """Replaces the copy by a whole table; keeps rows that are newer than it."""
         if self._loaded and read.version < self._version:
             return
+        if not self._loaded or era_of(read.version) > self.era:
+            self._begin_era(read.version)
         newer = {key: row for key, row in self._rows.items() if row.version > read.version}
         self._rows = {row.key: row for row in read.rows if not row.deleted} | newer
         self._version = read.version
@@ -187,6 +219,14 @@
         self._loaded = True
         self._on_change()
 
+    def _begin_era(self, version: int) -> None:
+        """Notes the first copy since the start or since the store was restored."""
+        self._era_read_at = version
+        # Peers whose copy is of an earlier era are behind, even if the table is empty now.
+        self._changed = max(self._changed, make_version(era_of(version), 0))
+        if self._loaded:
+            self._recovered_at = asyncio.get_running_loop().time()
+
     def _apply_changes(self, changes: RowsRead) -> None:
         self._version = max(self._version, changes.version)
         applied = [row for row in changes.rows if self._apply_row(row)]
@@ -213,7 +253,7 @@
 
     def _handle_answer(self) -> None:
         if not self._reachable:
-            log_event(Event.STORE_REACHABLE, table=self._table, version=self._version)
+            log_event(Event.STORE_REACHABLE, table=self._table, **version_fields(self._version))
             self._recovered_at = asyncio.get_running_loop().time()
             self._on_change()
         self._reachable = True
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -31,7 +31,7 @@
     store_reader,
     watch_set,
 )
-from wigeonpoint.services import RowsRead, VersionedRow
+from wigeonpoint.services import RowsRead, VersionedRow, version_fields
 from wigeonpoint.version.catalogue import RegisteredInstance
 
 PING_INTERVAL_S = 0.15
@@ -357,7 +357,8 @@
         ]
         read = RowsRead(rows, copy.version)
         if feed.adopt(read, copy.changed, stable=copy.stable):
-            log_event(Event.TABLE_COPIED, table=table, address=address, version=copy.version)
+            fields = version_fields(copy.version)
+            log_event(Event.TABLE_COPIED, table=table, address=address, **fields)
 
     async def _answer_ping(self, ping: GatewayPing) -> GatewayState:
         registered = self._control.instances.get(ping.sender)
--- a/src/wigeonpoint/services/__init__.py
+++ b/src/wigeonpoint/services/__init__.py
@@ -27,6 +27,12 @@
     RowTransaction,
     VersionedRow,
 )
+from wigeonpoint.services._store_version import (
+    era_of,
+    make_version,
+    number_of,
+    version_fields,
+)
 
 __all__ = [
     "HistoryLost",
@@ -50,4 +56,8 @@
     "Row",
     "TableService",
     "TableTransaction",
+    "era_of",
+    "make_version",
+    "number_of",
+    "version_fields",
 ]
--- a/src/wigeonpoint/services/_rows.py
+++ b/src/wigeonpoint/services/_rows.py
@@ -14,7 +14,8 @@
         table: Name of the table.
         key: Key within the table.
         value: The row's bytes, empty when it was deleted.
-        version: Number of the transaction that wrote it; numbers ascend over the whole store.
+        version: Store version of the transaction that wrote it. Versions ascend over the whole
+            store, also when it is restored from an older copy; see `make_version`.
         deleted: Whether the row was deleted.
     """
 
@@ -62,7 +63,7 @@
 
 
 class HistoryLost(Exception):
-    """The changes since the given version are no longer available; read the whole table."""
+    """The changes since the given version are not available; read the whole table."""
 
 
 class RowStore(Protocol):
@@ -81,7 +82,7 @@
             wait_s: Longest time to wait, in seconds; without changes the result has no rows.
 
         Raises:
-            HistoryLost: The version is too old.
+            HistoryLost: The version is too old, or the store has been restored since then.
         """
         ...
 
--- a/tests/gateway/_platform.py
+++ b/tests/gateway/_platform.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import orjson
@@ -23,6 +23,9 @@
     RowsRead,
     RowTransaction,
     VersionedRow,
+    era_of,
+    make_version,
+    number_of,
 )
 from wigeonpoint.version.catalogue import (
     Catalogue,
@@ -44,7 +47,7 @@
 
     Attributes:
         oldest_in_history: Version up to which the history has been dropped.
-        era: Number of restores so far, None for a store that does not tell it.
+        era: Number of restores so far.
         down: Whether it is unavailable to all.
         lose_answers: Number of next commits whose answers are lost after they were applied.
         silent_s: Seconds after which a call that is not answered fails.
@@ -55,7 +58,7 @@
     history: list[VersionedRow] = field(default_factory=list)
     version: int = 1
     oldest_in_history: int = 0
-    era: int | None = 0
+    era: int = 0
     down: bool = False
     lose_answers: int = 0
     silent_s: float = UNREACHABLE_TIMEOUT_S
@@ -77,7 +80,6 @@
 
     def restore(self, version: int) -> None:
         """Goes back to a copy that was taken at a version; later versions are given out again."""
-        assert self.era is not None
         self.era += 1
         self.history = [row for row in self.history if row.version <= version]
         self.rows = {}
@@ -144,34 +146,47 @@
     async def read(self, table: str) -> RowsRead:
         """Reads all rows of a table."""
         await self._delay_call()
-        rows = [row for row in self._store.rows.values() if row.table == table]
-        return RowsRead(rows, self._store.version)
+        return self._read([row for row in self._store.rows.values() if row.table == table])
 
     async def changes(self, table: str, *, after: int, wait_s: float) -> RowsRead:
-        """Waits for changes of a table after a version."""
+        """Waits for changes of a table after a version.
+
+        A call that waits through a restore goes on waiting for a higher version number.
+        """
         await self._delay_call()
         end = asyncio.get_running_loop().time() + wait_s
+        number = number_of(after)
+        if era_of(after) != self._store.era or not self._store.has_history(number):
+            raise HistoryLost
         while True:
-            if not self._store.has_history(after):
-                raise HistoryLost
             rows = [
-                row for row in self._store.history if row.table == table and row.version > after
+                row for row in self._store.history if row.table == table and row.version > number
             ]
             remaining = end - asyncio.get_running_loop().time()
             if rows or remaining < 0.001:
                 self._raise_if_unreachable()
-                return RowsRead(rows, self._store.version)
+                if era_of(after) != self._store.era or number < self._store.oldest_in_history:
+                    raise HistoryLost
+                return self._read(rows)
             await self._store.wait(min(remaining, 0.05))
             self._raise_if_unreachable()
 
     async def commit(self, transaction: RowTransaction) -> int:
         """Commits a transaction; its answer may be lost."""
         await self._delay_call()
-        version = self._store.commit(transaction)
+        expected = {key: number_of(version) for key, version in transaction.expected.items()}
+        version = self._store.commit(replace(transaction, expected=expected))
         if self._store.lose_answers > 0:
             self._store.lose_answers -= 1
             raise StoreUnavailable("the answer was lost")
-        return version
+        if any(v and era_of(v) != self._store.era for v in transaction.expected.values()):
+            raise StoreUnavailable("the store was restored since the expected rows were read")
+        return make_version(self._store.era, version)
+
+    def _read(self, rows: list[VersionedRow]) -> RowsRead:
+        era = self._store.era
+        versioned = [replace(row, version=make_version(era, row.version)) for row in rows]
+        return RowsRead(versioned, make_version(era, self._store.version))
 
     async def _delay_call(self) -> None:
         self._store.calls += 1
--- a/tests/userplatform/_servers.py
+++ b/tests/userplatform/_servers.py
@@ -5,6 +5,8 @@
 import asyncio
 import base64
 import socket
+from asyncio import Future
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
 
@@ -152,6 +154,8 @@
         self.store = ModelStore()
         self.groups = groups
         self.promotions: list[tuple[str, str, str]] = []
+        self.on_page: Callable[[], None] | None = None  # called once, after the next page
+        self.tells_era = True  # whether answers tell how often the store was restored
         self.forced_status: int | None = None  # HTTP status with which every request is answered
         self._server: HTTPServer | None = None
         self.address = ""
@@ -207,9 +211,13 @@
     def initialize(self, platform: PlatformServer) -> None:
         self.platform = platform
 
-    def prepare(self) -> None:
-        if self.platform.store.era is not None:
+    def flush(self, include_footers: bool = False) -> Future[None]:
+        """Sends the answer, with the era in which it is given."""
+        if self.platform.tells_era:
             self.set_header("Store-Era", str(self.platform.store.era))
+        return super().flush(include_footers)
+
+    def prepare(self) -> None:
         if self.platform.forced_status is not None:
             self.set_status(self.platform.forced_status)
             self.finish()
@@ -240,6 +248,9 @@
         rows = [row for row in self.platform.store.rows.values() if row.table == table]
         rows = sorted((row for row in rows if row.key >= start), key=lambda row: row.key)
         self.respond_with_rows(rows[: self.PAGE_ROWS], hasMore=len(rows) > self.PAGE_ROWS)
+        on_page, self.platform.on_page = self.platform.on_page, None
+        if on_page is not None:
+            on_page()
 
 
 class _FeedHandler(_Handler):
@@ -248,10 +259,10 @@
         table, after = self.get_argument("table"), int(self.get_argument("after"))
         end = asyncio.get_running_loop().time() + int(self.get_argument("waitMs")) / 1000
         store = self.platform.store
+        if not store.has_history(after):
+            self.set_status(410)
+            return
         while True:
-            if not store.has_history(after):
-                self.set_status(410)
-                return
             rows = [row for row in store.history if row.table == table and row.version > after]
             remaining = end - asyncio.get_running_loop().time()
             if rows or remaining < 0.001:
--- a/tests/userplatform/test_store.py
+++ b/tests/userplatform/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from collections.abc import Iterator
 
@@ -12,7 +13,7 @@
 from wigeonpoint.events import Event
 from wigeonpoint.platform._http import HttpClient
 from wigeonpoint.platform._store import PlatformRowStore
-from wigeonpoint.services import HistoryLost, RowKey, RowTransaction
+from wigeonpoint.services import HistoryLost, RowKey, RowTransaction, number_of
 
 
 @pytest.fixture
@@ -79,6 +80,83 @@
         with pytest.raises(StoreUnavailable):
             await store.read("mine")
 
+    async def test_versions_ascend_through_a_restore(self, server: PlatformServer) -> None:
+        """Guards against rows that count as older because their versions are given out again."""
+        store = PlatformRowStore(HttpClient(server.address))
+        copied_at = server.store.version
+        for number in range(5):
+            server.store.put("mine", "a", b"%d" % number)
+        before = await store.read("mine")
+        server.store.restore(copied_at)
+        server.store.put("mine", "a", b"new")
+        after = await store.read("mine")
+        assert after.version > before.version
+        assert after.rows[0].version > before.rows[0].version
+        assert number_of(after.version) < number_of(before.version)
+
+    @pytest.mark.parametrize("given_out_again", [False, True])
+    async def test_version_of_another_era_has_no_history(
+        self, server: PlatformServer, given_out_again: bool
+    ) -> None:
+        """Guards against changes after a version that stands for another state by now."""
+        store = PlatformRowStore(HttpClient(server.address))
+        copied_at = server.store.version
+        server.store.put("mine", "lost", b"1")
+        before = await store.read("mine")
+        server.store.restore(copied_at)
+        for number in range(3 if given_out_again else 0):
+            server.store.put("mine", f"k{number}", b"1")
+        with pytest.raises(HistoryLost):
+            await store.changes("mine", after=before.version, wait_s=0.0)
+
+    async def test_long_poll_that_outlasts_a_restore_has_no_history(
+        self, server: PlatformServer
+    ) -> None:
+        """Guards against a long poll that skips what was written before its own version."""
+        store = PlatformRowStore(HttpClient(server.address))
+        copied_at = server.store.version
+        server.store.put("mine", "lost", b"1")
+        before = await store.read("mine")
+        waiting = asyncio.create_task(store.changes("mine", after=before.version, wait_s=1.0))
+        await asyncio.sleep(0.1)
+        server.store.restore(copied_at)
+        for number in range(3):
+            server.store.put("mine", f"k{number}", b"1")
+        with pytest.raises(HistoryLost):
+            await waiting
+
+    async def test_pages_of_two_eras_are_not_joined(self, server: PlatformServer) -> None:
+        """Guards against a table that is read half before and half after a restore."""
+        for number in range(5):
+            server.store.put("mine", f"k{number}", b"old")
+        copied_at = server.store.version
+        server.store.put("mine", "k0", b"lost")
+        server.on_page = lambda: server.store.restore(copied_at)
+        read = await PlatformRowStore(HttpClient(server.address)).read("mine")
+        assert [row.value for row in read.rows] == [b"old"] * 5
+
+    async def test_condition_from_before_a_restore_is_in_doubt(
+        self, server: PlatformServer
+    ) -> None:
+        """Guards against a condition that holds because its version was given out again."""
+        store = PlatformRowStore(HttpClient(server.address))
+        key = RowKey("mine", "duty")
+        copied_at = server.store.version
+        version = await store.commit(RowTransaction(puts={key: b"one"}))
+        server.store.restore(copied_at)
+        server.store.put("mine", "duty", b"two")
+        with pytest.raises(StoreUnavailable):
+            await store.commit(RowTransaction({key: version}, {key: b"three"}))
+
+    async def test_store_that_tells_no_era_has_never_been_restored(
+        self, server: PlatformServer
+    ) -> None:
+        """Guards against a store without the header that cannot be read."""
+        server.tells_era = False
+        server.store.put("mine", "a", b"1")
+        store = PlatformRowStore(HttpClient(server.address))
+        assert (await store.read("mine")).version == server.store.version
+
     async def test_restored_store_is_logged(
         self, server: PlatformServer, caplog: pytest.LogCaptureFixture
     ) -> None:
