End calls that wait for changes when the store was restored

Callers would see: a change made right after a restore is active up to eight seconds late. Cause: a call that waits for changes outlasts the restore and goes on waiting for a version number above its own; rows that are written under lower numbers end it no sooner than its own time limit. In a short outage this holds for the calls of all instances, and nothing else asks the store while answers of peers renew the leases. Change: the feeds of an instance share the era; the first one that finds a later era has the others begin again.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -15,6 +15,7 @@
 from wigeonpoint.process.gateway._settings import GatewaySettings
 from wigeonpoint.process.gateway._shutdown import BALANCER_DETECTION_S, GatewayShutdown
 from wigeonpoint.process.gateway._statement_router import StatementRouter
+from wigeonpoint.process.gateway._store_era import StoreEra
 from wigeonpoint.process.gateway._suspension import Clock
 from wigeonpoint.process.gateway._transactions import TransactionRunner
 from wigeonpoint.process.gateway.control import (
@@ -70,6 +71,7 @@
             platform.peer_transport(settings.peer_address, self._dispatcher)
         )
         self._sharing = MemberSharing(settings.instance_id, lambda: self.control.instances)
+        store_era = StoreEra()
         self.view = PlatformView(
             platform,
             settings.data_centre,
@@ -77,6 +79,7 @@
             self._relay_links,
             own=settings.instance_id,
             clock=clock,
+            store_era=store_era,
             follows_store=lambda: self.peers.follows_store,
         )
         self._member_control = MemberControl(platform.connector)
@@ -89,6 +92,7 @@
             members=self._member_control,
             quorum_leases=self.quorum_leases,
             clock=clock,
+            store_era=store_era,
             follows_store=lambda: self.peers.follows_store,
             on_lease_regained=self.view.retry_suspects,
             on_instances_changed=self._prewarm_if_restarted,
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -10,8 +10,9 @@
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_sharing import MemberSharing
 from wigeonpoint.process.gateway._platform import GatewayPlatform
+from wigeonpoint.process.gateway._store_era import StoreEra
 from wigeonpoint.process.gateway._suspension import Clock
-from wigeonpoint.process.gateway._table_feed import TableFeed
+from wigeonpoint.process.gateway._table_feed import OnChange, TableFeed
 from wigeonpoint.process.gateway.relay import RelayingConnector, RelayLinks
 from wigeonpoint.services import VersionedRow, number_of
 from wigeonpoint.version.catalogue import (
@@ -33,6 +34,7 @@
         links: Links to the relays of members.
         own: Name of this instance.
         clock: Gives seconds; it must also count the time for which the machine is suspended.
+        store_era: The era that the feeds of this instance follow together.
         follows_store: Tells whether to follow the store, not only the copies of other instances.
     """
 
@@ -45,6 +47,7 @@
         *,
         own: str,
         clock: Clock,
+        store_era: StoreEra,
         follows_store: Callable[[], bool],
     ) -> None:
         self._platform = platform
@@ -64,11 +67,15 @@
         self._decoded_members: dict[str, tuple[VersionedRow, MemberRecord | None]] = {}
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._loaded_event = asyncio.Event()
-        store, names = platform.store, platform.tables
-        self.operators = TableFeed(
-            store, names.operators, self._apply_operators, follows=follows_store
-        )
-        self.members = TableFeed(store, names.members, self._apply_members, follows=follows_store)
+        names = platform.tables
+
+        def feed(table: str, on_change: OnChange) -> TableFeed:
+            return TableFeed(
+                platform.store, table, on_change, follows=follows_store, store_era=store_era
+            )
+
+        self.operators = feed(names.operators, self._apply_operators)
+        self.members = feed(names.members, self._apply_members)
 
     @property
     def loaded(self) -> bool:
--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -8,6 +8,7 @@
 
 from wigeonpoint.errors import StoreUnavailable
 from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._store_era import StoreEra
 from wigeonpoint.services import (
     HistoryLost,
     RowsRead,
@@ -39,6 +40,7 @@
         table: Name of the table.
         on_change: Called after every change of the copy.
         follows: Tells whether to follow the store; while it does not, others' copies are adopted.
+        store_era: The era that the feeds of this instance follow together.
         random_source: Source of the jitter between attempts.
     """
 
@@ -49,12 +51,16 @@
         on_change: OnChange,
         *,
         follows: Callable[[], bool] = lambda: True,
+        store_era: StoreEra | None = None,
         random_source: random.Random | None = None,
     ) -> None:
         self._store = store
         self._table = table
         self._on_change = on_change
         self._follows = follows
+        self._store_era = store_era or StoreEra()
+        self._store_era.subscribe(self._restart_call)
+        self._waiting_in_era: int | None = None  # while a call waits for changes
         self._random = random_source or random.Random()
         self._rows: dict[str, VersionedRow] = {}
         self._version = 0
@@ -180,10 +186,15 @@
 
     async def _follow_changes(self) -> None:
         """Waits for changes; reads the whole table if the store does not have them."""
+        self._waiting_in_era = self.era
         try:
             changes = await self._fetch_changes(wait_s=FEED_WAIT_S)
         except HistoryLost:
             log_event(Event.HISTORY_LOST, table=self._table, **version_fields(self._version))
+            changes = None
+        finally:
+            self._waiting_in_era = None
+        if changes is None:
             await self._reread_table()
             return
         self._reread_pause_s = 0.0
@@ -191,6 +202,12 @@
         if changes.rows:
             await asyncio.sleep(CHANGE_BATCH_S)
 
+    def _restart_call(self, era: int) -> None:
+        """Ends a call that waits for changes of an earlier era, and begins again."""
+        if self._task is not None and self._waiting_in_era not in (None, era):
+            self._task.cancel()
+            self.start()
+
     async def _fetch_changes(self, *, wait_s: float) -> RowsRead:
         self.calls += 1
         return await self._store.changes(self._table, after=self._version, wait_s=wait_s)
@@ -210,13 +227,16 @@
         """Replaces the copy by a whole table; keeps rows that are newer than it."""
         if self._loaded and read.version < self._version:
             return
-        if not self._loaded or era_of(read.version) > self.era:
+        new_era = not self._loaded or era_of(read.version) > self.era
+        if new_era:
             self._begin_era(read.version)
         newer = {key: row for key, row in self._rows.items() if row.version > read.version}
         self._rows = {row.key: row for row in read.rows if not row.deleted} | newer
         self._version = read.version
         self._changed = max([self._changed, *(row.version for row in read.rows)])
         self._loaded = True
+        if new_era:
+            self._store_era.note(self.era)
         self._on_change()
 
     def _begin_era(self, version: int) -> None:
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -9,6 +9,7 @@
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
+from wigeonpoint.process.gateway._store_era import StoreEra
 from wigeonpoint.process.gateway._suspension import Clock
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._handover import Handover
@@ -46,6 +47,7 @@
         members: Control calls to members.
         quorum_leases: Confirmations of primaries by the members of their groups.
         clock: Gives seconds; it must also count the time for which the machine is suspended.
+        store_era: The era that the feeds of this instance follow together.
         follows_store: Tells whether to follow the store, not only the copies of other instances.
         on_lease_regained: Called when the lease becomes valid.
         on_instances_changed: Called when instances have been registered or deregistered.
@@ -61,6 +63,7 @@
         members: MemberControl,
         quorum_leases: QuorumLeases,
         clock: Clock,
+        store_era: StoreEra,
         follows_store: Callable[[], bool] = lambda: True,
         on_lease_regained: Callable[[], None] = lambda: None,
         on_instances_changed: Callable[[], None] = lambda: None,
@@ -79,7 +82,9 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._handovers: dict[str, Handover] = {}
         self.lease = Lease(clock)
-        self.feed = TableFeed(store, CONTROL_TABLE, self._apply_rows, follows=follows_store)
+        self.feed = TableFeed(
+            store, CONTROL_TABLE, self._apply_rows, follows=follows_store, store_era=store_era
+        )
         self._records = ControlRecords(lambda: self.feed.rows)
         self._registration = Registration(name, registration, store, self.feed)
         self._keeper = LeaseKeeper(
