Accept a configuration whose version is given out again after a restore

Callers would see: operators who go on from a restored store number their changes as before, and every change is ignored until its number exceeds the newest one before the restore. Cause: the active configuration is ordered by the document's own version alone. Change: in a later era of the store, an equal version with other content is active at once. A lower one is active if the operators' table still holds it after 1.5 s and it was written in that era or has never been seen here; so neither the copy nor operators who repeat their changes in order revert the configuration. Evidence: test_version_given_out_again_with_other_content_is_active_in_time failed before for 0, 1 and 3 versions back; the two tests against a reverting configuration passed before and pass.

--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -14,15 +14,20 @@
 from wigeonpoint.process.gateway._suspension import Clock
 from wigeonpoint.process.gateway._table_feed import OnChange, TableFeed
 from wigeonpoint.process.gateway.relay import RelayingConnector, RelayLinks
-from wigeonpoint.services import VersionedRow, number_of
+from wigeonpoint.services import VersionedRow, era_of, number_of
 from wigeonpoint.version.catalogue import (
     ActiveCatalogue,
     Catalogue,
+    CatalogueVerdict,
     MemberDirectory,
     MemberRecord,
     Service,
 )
 
+# Operators write their newest version again within this time after a restore of the store. A lower
+# version that the store still holds then is the one that they go on from.
+REISSUE_SETTLING_S = 1.5
+
 
 class PlatformView:
     """Applies the operators' and the members' rows to the catalogue and the groups.
@@ -65,6 +70,7 @@
         self._directory = MemberDirectory()
         self._groups: dict[str, Group] = {}
         self._decoded_members: dict[str, tuple[VersionedRow, MemberRecord | None]] = {}
+        self._doubtful_version: int | None = None  # of the row whose catalogue is doubtful
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._loaded_event = asyncio.Event()
         names = platform.tables
@@ -170,16 +176,41 @@
     def _apply_operators(self) -> None:
         row = self.operators.rows.get(self._platform.tables.catalogue_key)
         catalogue = self._platform.decode_catalogue(row) if row is not None else None
-        if catalogue is not None and self._active.replace_if_newer(catalogue):
-            log_event(
-                Event.CATALOGUE_APPLIED,
-                version=catalogue.version,
-                routes=len(catalogue.routes),
-                store_version=number_of(self.operators.version),
-                store_era=self.operators.era,
-            )
+        if row is not None and catalogue is not None:
+            self._consider_catalogue(row, catalogue)
         self._signal_loaded()
 
+    def _consider_catalogue(self, row: VersionedRow, catalogue: Catalogue) -> None:
+        verdict = self._active.consider(
+            catalogue,
+            era=era_of(row.version),
+            written_in_era=row.version > self.operators.era_read_at,
+        )
+        if verdict is CatalogueVerdict.ACTIVE:
+            self._log_catalogue()
+        elif verdict is CatalogueVerdict.DOUBTFUL and row.version != self._doubtful_version:
+            self._doubtful_version = row.version
+            asyncio.get_running_loop().call_later(
+                REISSUE_SETTLING_S, self._activate_reissued, row, catalogue
+            )
+
+    def _activate_reissued(self, row: VersionedRow, catalogue: Catalogue) -> None:
+        """Activates a lower version if it is still what the operators' table holds."""
+        held = self.operators.rows.get(row.key)
+        if held is not None and held.version == row.version == self._doubtful_version:
+            self._active.replace(catalogue, era=era_of(row.version))
+            self._log_catalogue()
+
+    def _log_catalogue(self) -> None:
+        catalogue = self._active.catalogue
+        log_event(
+            Event.CATALOGUE_APPLIED,
+            version=catalogue.version,
+            routes=len(catalogue.routes),
+            store_version=number_of(self.operators.version),
+            store_era=self.operators.era,
+        )
+
     def _apply_members(self) -> None:
         now = asyncio.get_running_loop().time()
         rows = self.members.rows
--- a/src/wigeonpoint/version/catalogue/__init__.py
+++ b/src/wigeonpoint/version/catalogue/__init__.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+from wigeonpoint.version.catalogue._active import ActiveCatalogue, CatalogueVerdict
 from wigeonpoint.version.catalogue._catalogue import (
     DEFAULT_CONNECTION_LIMIT,
     DEFAULT_MESSAGE_BYTES,
     DEFAULT_TIMEOUT_S,
     DEFAULT_TRANSACTION_IDLE_S,
-    ActiveCatalogue,
     Catalogue,
     Consistency,
     DatabaseRoute,
@@ -30,6 +30,7 @@
     "EXPIRY_GRACE_S",
     "Catalogue",
     "ActiveCatalogue",
+    "CatalogueVerdict",
     "Consistency",
     "DatabaseRoute",
     "CoordinatorRecord",
--- a/src/wigeonpoint/version/catalogue/_catalogue.py
+++ b/src/wigeonpoint/version/catalogue/_catalogue.py
@@ -82,39 +82,17 @@
     transaction_idle_s: float = DEFAULT_TRANSACTION_IDLE_S
     message_bytes: int = DEFAULT_MESSAGE_BYTES
 
+    @property
+    def fingerprint(self) -> int:
+        """A number that is equal for catalogues of equal content within this process."""
+        contents = frozenset(self.routes.items()), frozenset(self.services.items())
+        return hash((self.version, contents, self.transaction_idle_s, self.message_bytes))
+
     def service(self, name: str) -> Service:
         """A service by name, with defaults where the configuration does not list it."""
         return self.services.get(name) or Service(name)
 
 
-class ActiveCatalogue:
-    """Holds the newest catalogue that this process has seen; never returns to an older one."""
-
-    def __init__(self) -> None:
-        self._catalogue = Catalogue()
-
-    @property
-    def catalogue(self) -> Catalogue:
-        """The active catalogue."""
-        return self._catalogue
-
-    @property
-    def known(self) -> bool:
-        """Whether any version has been seen."""
-        return self._catalogue.version > 0
-
-    def replace_if_newer(self, catalogue: Catalogue) -> bool:
-        """Activates a catalogue if it is newer than the active one.
-
-        Returns:
-            Whether it is now active.
-        """
-        if catalogue.version <= self._catalogue.version:
-            return False
-        self._catalogue = catalogue
-        return True
-
-
 def rank_of(priority: int) -> Rank:
     """Rank of a numeric priority, of which 0 is the most urgent."""
     return RANKS[min(max(priority, 0), len(RANKS) - 1)]
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -7,9 +7,12 @@
 import pytest
 
 from tests.gateway._cluster import ROUTES, SERVICE, GatewayCluster
+from tests.gateway._platform import NAMES
+from wigeonpoint.services import RowKey
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
+CATALOGUE_ROW = RowKey(NAMES.operators, NAMES.catalogue_key)
 APPLY_S = 3.0  # an acknowledged change is active everywhere within this time
 OUTAGE_S = 2.0
 REWRITE_S = 0.3  # after the outage, operators and members have written their rows again
@@ -69,6 +72,49 @@
                 await asyncio.sleep(0.1)
                 assert not behind(cluster, "accepted")
 
+    @pytest.mark.parametrize("versions_back", [0, 1, 3])
+    async def test_version_given_out_again_with_other_content_is_active_in_time(
+        self, versions_back: int
+    ) -> None:
+        """Guards against operators who continue from the copy and are ignored for many changes."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            for number in range(4):
+                cluster.configure(routes(f"r{number}"))
+                await asyncio.sleep(0.2)
+            await restore(cluster, copied_at, rewrite=False)
+            cluster.config_version -= versions_back + 1
+            cluster.configure(routes("again"))
+            await asyncio.sleep(APPLY_S)
+            assert not behind(cluster, "again")
+
+    async def test_versions_that_are_written_again_in_order_do_not_revert(self) -> None:
+        """Guards against a configuration that reverts while operators repeat their changes."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            values = []
+            for number in range(4):
+                cluster.configure(routes(f"r{number}", "kept" if number == 3 else "old"))
+                values.append(cluster.store.rows[CATALOGUE_ROW].value)
+                await asyncio.sleep(0.2)
+            await restore(cluster, copied_at, rewrite=False)
+            for value in values:
+                cluster.store.put(CATALOGUE_ROW.table, CATALOGUE_ROW.key, value)
+                await asyncio.sleep(0.3)
+                assert not behind(cluster, "kept")
+
+    async def test_version_that_was_never_read_does_not_revert_the_configuration(self) -> None:
+        """Guards against a copy that holds a version which was replaced before it was read."""
+        async with GatewayCluster() as cluster:
+            cluster.configure(routes("skipped"))
+            copied_at = cluster.store.version
+            cluster.configure(routes("kept"))
+            await asyncio.sleep(0.5)
+            await restore(cluster, copied_at)
+            for _ in range(30):
+                await asyncio.sleep(0.1)
+                assert not behind(cluster, "kept")
+
     async def test_store_is_not_called_without_a_pause(self) -> None:
         """Guards against feeds that repeat a call of which the store has lost the history."""
         async with GatewayCluster() as cluster:
