Keep a leaving member leaving when the store lists it as running again

Callers' work would reach a member that has announced its shutdown (DRAIN): a store that is restored from an older copy lists it as running until it has written its row again. Cause: the directory takes the newest row for the member's state. Change: a member that has announced its shutdown stays leaving until it starts again, which its row tells by the time of the start. Evidence: test_leaving_member_gets_no_new_work and test_member_that_starts_again_is_used failed before. Members whose rows are lost stay in use for the usual grace period (passed before, too).

--- a/src/wigeonpoint/process/gateway/control/_lease_keeper.py
+++ b/src/wigeonpoint/process/gateway/control/_lease_keeper.py
@@ -29,7 +29,8 @@
 # Some instance of the fleet reads the store this often, to find that it was restored well within
 # the few seconds in which a change must be active. The spread lets one read serve all instances.
 RESTORE_CHECK_S = 0.9
-RESTORE_CHECK_SPREAD = 1.5
+RESTORE_CHECK_SPREAD = 2.0
+SAME_READ_S = 0.05  # peers tell the time of one store read with small differences
 
 
 class LeaseKeeper:
@@ -54,7 +55,7 @@
         self._peers = peers
         self._reads_for_others = reads_for_others
         self._random = random.Random()
-        self._delays_chosen_for: float | None = None
+        self._delays_chosen_for = -inf
         self._restore_check_delay_s = RESTORE_CHECK_S
         self._read_delay_s = STORE_READ_AFTER_S
         self._store_latency_s = 0.0
@@ -101,7 +102,7 @@
     def _choose_delays(self) -> None:
         """Chooses the random delays anew once there was another store read."""
         read_at = self._lease.store_read_at()
-        if read_at == self._delays_chosen_for:
+        if read_at - self._delays_chosen_for < SAME_READ_S:
             return
         self._delays_chosen_for = read_at
         self._read_delay_s = self._random.uniform(STORE_READ_EARLIEST_S, STORE_READ_LATEST_S)
--- a/src/wigeonpoint/version/catalogue/_members.py
+++ b/src/wigeonpoint/version/catalogue/_members.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from wigeonpoint.backend import MemberRole
 
 EXPIRY_GRACE_S = 2.0  # running members have registered again this long after the store came back
+REMEMBERED_LEAVING = 4096  # members; more than leave within the time that a restore can undo
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,12 +42,15 @@
     """The members in use.
 
     A member whose entry has disappeared stays in use for a grace period, because entries expire
-    during an outage of the store although their members keep running.
+    during an outage of the store although their members keep running. A member that has announced
+    its shutdown stays leaving until it starts again: a store that is restored from an older copy
+    lists it as running.
     """
 
     def __init__(self) -> None:
         self._records: dict[str, MemberRecord] = {}
         self._expiring: dict[str, float] = {}  # id -> time at which it leaves the directory
+        self._leaving: dict[tuple[str, int], None] = {}  # id and start, the oldest first
 
     @property
     def records(self) -> Mapping[str, MemberRecord]:
@@ -71,7 +75,7 @@
             store_stable: Whether the store has answered without a break, so that a missing entry
                 means that its member has stopped.
         """
-        listed = {record.id: record for record in records}
+        listed = {record.id: self._keep_leaving(record) for record in records}
         for member_id in self._records.keys() - listed.keys():
             self._expiring.setdefault(member_id, now if store_stable else now + EXPIRY_GRACE_S)
         for record in listed.values():
@@ -79,6 +83,17 @@
             self._records[record.id] = record
         self.expire(now)
 
+    def _keep_leaving(self, record: MemberRecord) -> MemberRecord:
+        """The record, leaving if its member has announced that since it started."""
+        started = record.id, record.born_ms
+        if not record.leaving:
+            return replace(record, leaving=True) if started in self._leaving else record
+        if record.born_ms:  # without the time of its start, a restart cannot be told
+            self._leaving[started] = None
+            while len(self._leaving) > REMEMBERED_LEAVING:
+                del self._leaving[next(iter(self._leaving))]
+        return record
+
     def expire(self, now: float) -> list[MemberRecord]:
         """Drops the members whose grace period is over.
 
--- a/tests/gateway/_members.py
+++ b/tests/gateway/_members.py
@@ -146,7 +146,9 @@
         address = f"{member_id}:1"
         self.network.data_centres[address] = data_centre
         role = MemberRole.PRIMARY if primary else MemberRole.REPLICA
-        record = MemberRecord(member_id, self.name, address, data_centre, role=role, slots=2)
+        record = MemberRecord(
+            member_id, self.name, address, data_centre, role=role, slots=2, born_ms=1
+        )
         member = ModelMember(record, role=role)
         self.members[member_id] = member
         return member
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from tests.gateway._cluster import ROUTES, SERVICE, GatewayCluster
 from tests.gateway._platform import NAMES
 from wigeonpoint.services import RowKey
+from wigeonpoint.version.catalogue import EXPIRY_GRACE_S, MemberDirectory, MemberRecord
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
@@ -130,3 +132,44 @@
             await asyncio.sleep(10.0)
             reads_anew = 3 * len(cluster.nodes)
             assert cluster.store.calls - calls <= 2 * (calm_calls + 2 * reads_anew)
+
+
+class TestMembers:
+    """The members' rows around a restore."""
+
+    async def test_leaving_member_gets_no_new_work(self) -> None:
+        """Guards against a leaving member that the copy lists as running."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            cluster.announce_shutdown(cluster.member("stgallen"))
+            await asyncio.sleep(0.5)
+            await cluster.stop_member_reports()
+            await restore(cluster, copied_at)
+            await asyncio.sleep(1.0)
+            for node in cluster.nodes.values():
+                pool = node.gateway.view.group(SERVICE).pool("m-stgallen")
+                assert pool is not None
+                assert pool.record.leaving
+
+    async def test_member_that_starts_again_is_used(self) -> None:
+        """Guards against a member that stays leaving after a restart under its id."""
+        directory = MemberDirectory()
+        member = MemberRecord("m", SERVICE, "m:1", "chur", leaving=True, born_ms=1)
+        directory.replace([member], now=0.0, store_stable=True)
+        directory.replace([replace(member, leaving=False)], now=1.0, store_stable=True)
+        assert directory.records["m"].leaving
+        directory.replace([replace(member, leaving=False, born_ms=2)], now=2.0, store_stable=True)
+        assert not directory.records["m"].leaving
+
+    @pytest.mark.parametrize("outage_s", [0.0, OUTAGE_S])
+    async def test_member_whose_row_is_lost_stays_in_use(self, outage_s: float) -> None:
+        """Guards against members that count as gone until they have written their rows again."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            cluster.group.add("m-new", "chur")
+            await asyncio.sleep(0.5)
+            await cluster.stop_member_reports()
+            await restore(cluster, copied_at, outage_s=outage_s)
+            await asyncio.sleep(EXPIRY_GRACE_S / 2)
+            for node in cluster.nodes.values():
+                assert node.gateway.view.group(SERVICE).pool("m-new") is not None
