Remember the latest store read that an instance has heard of

The regular read of the store was made by several instances each time: peers tell only of reads of the last 0.6 s, and each ping drew the random delay anew.

--- a/src/wigeonpoint/process/gateway/control/_lease_keeper.py
+++ b/src/wigeonpoint/process/gateway/control/_lease_keeper.py
@@ -66,7 +66,7 @@
             # Nothing that needs a primary can be served until the control rows are loaded.
             remaining_s = min(
                 self._due_s() - self._lease.age_s(self._peers()),
-                self._restore_check_s() - self._lease.store_read_age_s(),
+                self._restore_check_at() - self._lease.now,
             )
             if self._feed.loaded and remaining_s <= 0:
                 await self._read_store()
@@ -89,19 +89,19 @@
         )
         return max(min(self._read_delay_s, latest), 0.0)
 
-    def _restore_check_s(self) -> float:
-        """Age of the latest known store read, in seconds, at which the store is read next.
+    def _restore_check_at(self) -> float:
+        """Time in seconds at which the store is read next unless a peer reads it before.
 
         While the store does not answer, the feed repeats its calls and finds a restore itself.
         """
         if not self._feed.reachable:
             return inf
         self._choose_delays()
-        return self._restore_check_delay_s
+        return self._lease.latest_store_read_at + self._restore_check_delay_s
 
     def _choose_delays(self) -> None:
         """Chooses the random delays anew once there was another store read."""
-        read_at = self._lease.store_read_at()
+        read_at = self._lease.latest_store_read_at
         if read_at - self._delays_chosen_for < SAME_READ_S:
             return
         self._delays_chosen_for = read_at
