Let no two coordinators promote with the same token after a restore

Cause: the token and the epoch of a claim come from rows that a restore takes back. Change: tokens begin anew above all earlier ones in each era of the store, and a coordinator that finds itself in the copy takes a new one; leadership records name the era of their claim and are ordered by it first; a claim does not outlast a restore. Evidence: test_fencing_tokens_ascend_through_a_restore and test_coordinator_of_the_copy_takes_a_new_token failed before. A change of primary that a restore interrupts was completed before and still is (four moments).

--- a/src/wigeonpoint/process/gateway/control/_announcement_handler.py
+++ b/src/wigeonpoint/process/gateway/control/_announcement_handler.py
@@ -35,4 +35,4 @@
             self._control.feed.apply(row)
         self._control.adopt_leadership(message.group, message.leadership)
         known = self._control.leadership(message.group)
-        return LeadershipAdopted(known.epoch if known is not None else 0)
+        return LeadershipAdopted(known.epoch, known.era) if known else LeadershipAdopted(0)
--- a/src/wigeonpoint/process/gateway/control/_claims.py
+++ b/src/wigeonpoint/process/gateway/control/_claims.py
@@ -18,12 +18,12 @@
     encode_record,
     group_row,
 )
-from wigeonpoint.services import RowStore, RowTransaction, VersionedRow
+from wigeonpoint.services import RowStore, RowTransaction, VersionedRow, era_of
 from wigeonpoint.version.catalogue import (
-    CoordinatorRecord,
     Leadership,
     LeadershipPhase,
     MemberRecord,
+    next_coordinator,
 )
 
 STORE_ATTEMPTS = 3
@@ -85,7 +85,7 @@
         Raises:
             ConditionFailed: Another instance changed the records first.
             StoreUnavailable: The store does not answer.
-            ClaimSuperseded: This instance has no valid lease.
+            ClaimSuperseded: This instance has no valid lease, or the store was restored meanwhile.
         """
         known = self._control.leadership(name)
         if not self._control.lease_valid:
@@ -108,27 +108,29 @@
         newest = self._control.leadership(claim.group) == claim.leadership
         if not (held and newest and self._control.lease_valid):
             raise ClaimSuperseded("the claim, the coordinator record or the lease was lost")
+        if claim.leadership.era != self._control.era:
+            raise ClaimSuperseded("the store was restored since the claim")
 
-    async def complete(self, claim: Claim, stable: Leadership) -> None:
-        """Writes the stable record, retrying while it is the newest.
+    async def store_stable(self, group: str, stable: Leadership) -> None:
+        """Writes the stable record of a group, retrying while it is the newest known one.
 
         Until it is stored, other instances may take over the claim.
         """
-        key = group_row(claim.group)
-        while self._control.leadership(claim.group) == stable:
+        key = group_row(group)
+        while self._control.leadership(group) == stable:
             expected = {key: self._control.records.version(key.key)}
             try:
                 await self._commit(RowTransaction(expected, {key: encode_record(stable)}))
             except ConditionFailed:
                 return  # a later claim replaced this one
             except StoreUnavailable as error:
-                log_event(Event.PROMOTION_FAILED, group=claim.group, reason=error.message)
+                log_event(Event.PROMOTION_FAILED, group=group, reason=error.message)
                 await asyncio.sleep(RECORD_RETRY_DELAY_S)
                 continue
             return
 
     async def _claim_once(self, name: str, candidate: MemberRecord, *, planned: bool) -> Claim:
-        records = self._control.records
+        records, era = self._control.records, self._control.era
         known, coordinator_record = self._control.leadership(name), records.coordinator_record()
         group = self._groups().get(name)
         leadership = Leadership(
@@ -138,31 +140,27 @@
             claimant=self._control.name,
             candidate=candidate.id,
             planned=planned,
-        )
-        own_record = (
-            coordinator_record
-            if coordinator_record is not None and coordinator_record.holder == self._control.name
-            else None
-        )
-        new_record = own_record or CoordinatorRecord(
-            self._control.name, (coordinator_record.token if coordinator_record else 0) + 1
+            era=era,
         )
         puts = {group_row(name): encode_record(leadership)}
-        if own_record is None:
-            puts[control_row(COORDINATOR_KEY)] = encode_record(new_record)
+        if coordinator_record is None or not coordinator_record.held_by(self._control.name, era):
+            coordinator_record = next_coordinator(coordinator_record, self._control.name, era)
+            puts[control_row(COORDINATOR_KEY)] = encode_record(coordinator_record)
         expected = {
             group_row(name): records.version(group_row(name).key),
             control_row(COORDINATOR_KEY): records.version(COORDINATOR_KEY),
         }
         await self._commit(RowTransaction(expected, puts))
+        if era_of(records.version(group_row(name).key)) != era:
+            raise ClaimSuperseded("the store was restored during the claim")
         log_event(
             Event.PROMOTION_CLAIMED,
             group=name,
             epoch=leadership.epoch,
             candidate=candidate.id,
-            token=new_record.token,
+            token=coordinator_record.token,
         )
-        return Claim(name, leadership, new_record.token, self._control.lease.now)
+        return Claim(name, leadership, coordinator_record.token, self._control.lease.now)
 
     async def _commit(self, transaction: RowTransaction) -> None:
         """Commits a transaction; after a lost answer, reads the rows to see whether it was applied.
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -101,6 +101,11 @@
         """The control rows."""
         return self._records
 
+    @property
+    def era(self) -> int:
+        """Number of restores of the store that the control rows follow."""
+        return self.feed.era
+
     @property
     def instances(self) -> dict[str, RegisteredInstance]:
         """Registered instances by name, this one included."""
@@ -196,13 +201,14 @@
     def adopt_leadership(self, group: str, leadership: Leadership) -> None:
         """Adopts a leadership record of a group if it is newer than the known one."""
         known = self._leaderships.get(group)
-        if known is not None and _precedence(leadership) <= _precedence(known):
+        if known is not None and leadership.precedence <= known.precedence:
             return
         self._leaderships[group] = leadership
         log_event(
             Event.LEADERSHIP_ADOPTED,
             group=group,
             epoch=leadership.epoch,
+            era=leadership.era,
             phase=str(leadership.phase),
             primary=leadership.primary,
             candidate=leadership.candidate,
@@ -300,7 +306,3 @@
         )
         if regained:
             self._on_lease_regained()
-
-
-def _precedence(leadership: Leadership) -> tuple[int, bool]:
-    return leadership.epoch, leadership.phase is LeadershipPhase.STABLE
--- a/src/wigeonpoint/process/gateway/control/_messages.py
+++ b/src/wigeonpoint/process/gateway/control/_messages.py
@@ -125,6 +125,8 @@
 
     Attributes:
         epoch: Newest epoch of the group that it knows.
+        era: Era of the store to which the epoch belongs.
     """
 
     epoch: int
+    era: int = 0
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -233,7 +233,8 @@
             )
         except WigeonpointError:
             return False  # the claimant logs which peers did not confirm
-        return reply.epoch >= message.leadership.epoch
+        announced = message.leadership
+        return (reply.era, reply.epoch) >= (announced.era, announced.epoch)
 
     @property
     def _large_fleet(self) -> bool:
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -251,7 +251,7 @@
             self._peers.announce(announcement, timeout=LEASE_DURATION_S),
             self._demote(replaced, term),
             self._members.resume(others),
-            self._claims.complete(claim, stable),
+            self._claims.store_stable(claim.group, stable),
         )
 
     async def _wait_until_primary(self, candidate: str) -> int | None:
--- a/src/wigeonpoint/version/catalogue/__init__.py
+++ b/src/wigeonpoint/version/catalogue/__init__.py
@@ -19,6 +19,7 @@
     Leadership,
     LeadershipPhase,
     RegisteredInstance,
+    next_coordinator,
 )
 from wigeonpoint.version.catalogue._members import EXPIRY_GRACE_S, MemberDirectory, MemberRecord
 
@@ -40,5 +41,6 @@
     "MemberRecord",
     "RegisteredInstance",
     "Service",
+    "next_coordinator",
     "rank_of",
 ]
--- a/src/wigeonpoint/version/catalogue/_leadership.py
+++ b/src/wigeonpoint/version/catalogue/_leadership.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+TOKENS_PER_ERA = 1_000_000  # more than coordinators change between two restores of the store
+
 
 class LeadershipPhase(StrEnum):
     """Progress of a group's change of primary."""
@@ -24,6 +26,8 @@
         claimant: Instance that claimed the change.
         candidate: Member to be promoted, None until it is chosen.
         planned: Whether the replaced primary is leaving, and therefore still runs.
+        era: Era of the store in which the change was claimed. A store that is restored from an
+            older copy gives epochs out again, so the era orders records before the epoch does.
     """
 
     epoch: int
@@ -32,6 +36,12 @@
     claimant: str
     candidate: str | None = None
     planned: bool = False
+    era: int = 0
+
+    @property
+    def precedence(self) -> tuple[int, int, bool]:
+        """Sorts the records of a group; the highest is in force."""
+        return self.era, self.epoch, self.phase is LeadershipPhase.STABLE
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,12 +50,31 @@
 
     Attributes:
         holder: Name of the coordinator.
-        token: Fencing token; every change of holder raises it.
+        token: Fencing token; every change of holder raises it, and so does every restore of the
+            store, after which changes of holder may have been forgotten.
     """
 
     holder: str
     token: int
 
+    def held_by(self, instance: str, era: int) -> bool:
+        """Whether an instance holds the record since a time in this era of the store."""
+        return self.holder == instance and self.token > era * TOKENS_PER_ERA
+
+
+def next_coordinator(
+    current: CoordinatorRecord | None, instance: str, era: int
+) -> CoordinatorRecord:
+    """The record by which an instance becomes coordinator.
+
+    Args:
+        current: The present record, None before the first claim.
+        instance: Name of the instance.
+        era: Era of the store.
+    """
+    known = current.token if current is not None else 0
+    return CoordinatorRecord(instance, max(known, era * TOKENS_PER_ERA) + 1)
+
 
 @dataclass(frozen=True, slots=True)
 class RegisteredInstance:
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -7,9 +7,16 @@
 
 import pytest
 
-from tests.gateway._cluster import ROUTES, SERVICE, GatewayCluster
+from tests.gateway._cluster import (
+    ROUTES,
+    SERVICE,
+    GatewayCluster,
+    assert_logged_once,
+    write_values,
+)
 from tests.gateway._platform import NAMES
-from wigeonpoint.services import RowKey
+from wigeonpoint.process.gateway.control import CONTROL_TABLE
+from wigeonpoint.services import RowKey, VersionedRow
 from wigeonpoint.version.catalogue import EXPIRY_GRACE_S, MemberDirectory, MemberRecord
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -38,6 +45,11 @@
         cluster.rewrite_configuration()
 
 
+def rows(cluster: GatewayCluster) -> list[VersionedRow]:
+    """All rows of the store."""
+    return list(cluster.store.rows.values())
+
+
 def behind(cluster: GatewayCluster, route: str) -> list[str]:
     """Names of the instances on which a route is not active."""
     return [
@@ -173,3 +185,73 @@
             await asyncio.sleep(EXPIRY_GRACE_S / 2)
             for node in cluster.nodes.values():
                 assert node.gateway.view.group(SERVICE).pool("m-new") is not None
+
+
+class TestPrimaries:
+    """Changes of primary around a restore."""
+
+    async def test_fencing_tokens_ascend_through_a_restore(self) -> None:
+        """Guards against two coordinators that promote with the same token."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            caller = await cluster.caller("g-stgallen", "current")
+            cluster.member("chur").running = False
+            await cluster.write_until_served(caller, "WRITE a x", within_s=5.0)
+            cluster.member("chur").running = True
+            await asyncio.sleep(1.0)
+            await restore(cluster, copied_at)
+            await asyncio.sleep(1.0)
+            cluster.kill(cluster.promotion_calls[0].holder)
+            await asyncio.sleep(1.5)
+            name = min(cluster.nodes)
+            caller = await cluster.caller(name, "current")
+            cluster.group.leader().running = False
+            result, _ = await cluster.write_until_served(caller, "WRITE a y", within_s=8.0)
+            assert result.served
+            holders = {call.token: call.holder for call in cluster.promotion_calls}
+            assert len(holders) == 2
+            assert list(holders) == sorted(holders)
+
+    async def test_coordinator_of_the_copy_takes_a_new_token(self) -> None:
+        """Guards against a coordinator that promotes with a lower token than its successor's."""
+        async with GatewayCluster() as cluster:
+            caller = await cluster.caller("g-stgallen", "current")
+            cluster.member("chur").running = False
+            await cluster.write_until_served(caller, "WRITE a x", within_s=5.0)
+            await asyncio.sleep(1.0)
+            token = cluster.promotion_calls[-1].token
+            await restore(cluster, cluster.store.version)
+            cluster.member("chur").running = True
+            await asyncio.sleep(1.0)
+            cluster.group.leader().running = False
+            await cluster.write_until_served(caller, "WRITE a y", within_s=8.0)
+            assert cluster.promotion_calls[-1].token > token
+
+    @pytest.mark.parametrize("after_s", [0.02, 0.2, 0.6, 1.0])
+    async def test_change_of_primary_that_the_restore_interrupts_is_made(
+        self, after_s: float
+    ) -> None:
+        """Guards against a claim that only its claimant remembers."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            caller = await cluster.caller("g-stgallen", "current")
+            values = await write_values(caller, 3)
+            cluster.member("chur").running = False
+            write = asyncio.create_task(
+                cluster.write_until_served(caller, "WRITE a x", within_s=8.0)
+            )
+            while not any(
+                row.table == CONTROL_TABLE and "group" in row.key for row in rows(cluster)
+            ):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(after_s)
+            cluster.store.restore(copied_at)
+            result, _ = await write
+            assert result.served
+            await asyncio.sleep(2.0)
+            assert_logged_once(cluster, [*values, "x"])
+            for node in cluster.nodes.values():
+                group = node.gateway.view.group(SERVICE)
+                assert group.primary_id == cluster.group.leader().record.id
+            tokens = [call.token for call in cluster.promotion_calls]
+            assert tokens == sorted(tokens)
