Wait for instances whose registration a restore has lost

A claimant would promote without the confirmation of an instance that started after the copy, while its lease is still valid (ONE, STALE); all instances would also change how they share members for the moment. Cause: the instances are those that the store lists. Evidence: test_claimant_waits_for_an_instance_whose_registration_was_lost failed before.

--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -22,6 +22,7 @@
     ControlRecords,
 )
 from wigeonpoint.process.gateway.control._registration import Registration
+from wigeonpoint.process.gateway.control._unlisted import UNLISTED_GRACE_S, UnlistedInstances
 from wigeonpoint.process.gateway.control._watch_set import FULL_MESH_LIMIT, store_reader
 from wigeonpoint.services import RowStore
 from wigeonpoint.version.catalogue import (
@@ -76,6 +77,8 @@
         self._on_instances_changed = on_instances_changed
         self._lease_valid_since: float | None = None
         self._leaderships: dict[str, Leadership] = {}
+        self._listed: dict[str, RegisteredInstance] = {}
+        self._unlisted = UnlistedInstances()
         self._instances: dict[str, RegisteredInstance] = {}
         self._peers: dict[str, RegisteredInstance] = {}
         self._peers_of = self._instances  # from which the peers were derived
@@ -106,9 +109,18 @@
         """Number of restores of the store that the control rows follow."""
         return self.feed.era
 
+    @property
+    def listed(self) -> dict[str, RegisteredInstance]:
+        """Instances by name whose registration the store holds."""
+        return self._listed
+
     @property
     def instances(self) -> dict[str, RegisteredInstance]:
-        """Registered instances by name, this one included."""
+        """Registered instances by name, this one included.
+
+        An instance whose registration was lost in a restore of the store is kept until it has had
+        the time to register again.
+        """
         return self._instances
 
     @property
@@ -122,7 +134,7 @@
     @property
     def registered(self) -> bool:
         """Whether this instance is registered, so that claimants wait for its confirmation."""
-        return self._instances.get(self._name) == self._registration.row
+        return self._listed.get(self._name) == self._registration.row
 
     @property
     def registered_before(self) -> bool:
@@ -256,6 +268,7 @@
             timeout: Seconds to wait for the store.
         """
         self._instances = self.peers
+        self._listed = {name: one for name, one in self._listed.items() if name != self._name}
         await self._registration.end(timeout=timeout)
 
     def _start_handover(self, group: Group, leadership: Leadership) -> Handover | None:
@@ -273,18 +286,30 @@
         )
 
     def _apply_rows(self) -> None:
-        records = self.records
-        instances = records.instances()
+        listed = self.records.instances()
         if self._registration.leaving:
-            instances.pop(self._name, None)
+            listed.pop(self._name, None)
+        self._listed = listed
+        instances = self._add_unlisted(listed)
         for name in self._instances.keys() - instances.keys():
             self.lease.forget_peer(name)
         if instances != self._instances:
             self._instances = instances
             self._on_instances_changed()
-        for group, leadership in records.leaderships().items():
+        for group, leadership in self.records.leaderships().items():
             self.adopt_leadership(group, leadership)
 
+    def _add_unlisted(self, listed: dict[str, RegisteredInstance]) -> dict[str, RegisteredInstance]:
+        """Adds the instances whose registrations were lost a short time ago."""
+        now = self.lease.now
+        if self._unlisted.note(listed, self._instances, era=self.era, now=now):
+            loop = asyncio.get_running_loop()
+            loop.call_later(UNLISTED_GRACE_S, self._apply_rows)
+        unlisted = self._unlisted.instances(now)
+        if self._registration.leaving:
+            unlisted.pop(self._name, None)
+        return unlisted | listed
+
     async def _watch_lease(self) -> None:
         """Logs when the lease is lost and regained."""
         while True:
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -362,7 +362,7 @@
             log_event(Event.TABLE_COPIED, table=table, address=address, **fields)
 
     async def _answer_ping(self, ping: GatewayPing) -> GatewayState:
-        registered = self._control.instances.get(ping.sender)
+        registered = self._control.listed.get(ping.sender)
         sender = RegisteredInstance(ping.address, ping.data_centre)
         return replace(self._own_state(), knows_sender=registered == sender)
 
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.gateway._cluster import (
+    DATA_CENTRES,
     ROUTES,
     SERVICE,
     GatewayCluster,
@@ -255,3 +256,61 @@
                 assert group.primary_id == cluster.group.leader().record.id
             tokens = [call.token for call in cluster.promotion_calls]
             assert tokens == sorted(tokens)
+
+    async def test_claimant_waits_for_an_instance_whose_registration_was_lost(self) -> None:
+        """Guards against a change of primary that an instance with a valid lease does not know."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            cluster.start("g-new", "sargans")
+            await asyncio.sleep(1.0)
+            cluster.nodes["g-new"].platform.store.cut_off = True
+            await asyncio.sleep(0.1)
+            cluster.store.restore(copied_at)
+            await asyncio.sleep(2.5)
+            for name in DATA_CENTRES:
+                control = cluster.nodes[f"g-{name}"].gateway.control
+                assert control.era == 1
+                assert "g-new" in control.peers.keys() - control.listed.keys()
+
+    async def test_instance_registers_again_after_a_restore(self) -> None:
+        """Guards against an instance that uses no primaries because its registration was lost."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            cluster.start("g-new", "sargans")
+            await asyncio.sleep(1.0)
+            await restore(cluster, copied_at)
+            await asyncio.sleep(1.0)
+            caller = await cluster.caller("g-new", "current")
+            assert (await caller.query("WRITE a x")).served
+            await asyncio.sleep(10.0)
+            for node in cluster.nodes.values():
+                assert node.gateway.control.listed.keys() == cluster.nodes.keys()
+
+    async def test_claimant_waits_for_an_instance_whose_registration_was_lost(self) -> None:
+        """Guards against a change of primary that an instance with a valid lease does not know."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            cluster.start("g-new", "sargans")
+            await asyncio.sleep(1.0)
+            cluster.nodes["g-new"].platform.store.cut_off = True
+            await asyncio.sleep(0.1)
+            cluster.store.restore(copied_at)
+            await asyncio.sleep(2.5)
+            for name in DATA_CENTRES:
+                control = cluster.nodes[f"g-{name}"].gateway.control
+                assert control.era == 1
+                assert "g-new" in control.peers.keys() - control.listed.keys()
+
+    async def test_instance_registers_again_after_a_restore(self) -> None:
+        """Guards against an instance that uses no primaries because its registration was lost."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            cluster.start("g-new", "sargans")
+            await asyncio.sleep(1.0)
+            await restore(cluster, copied_at)
+            await asyncio.sleep(1.0)
+            caller = await cluster.caller("g-new", "current")
+            assert (await caller.query("WRITE a x")).served
+            await asyncio.sleep(10.0)
+            for node in cluster.nodes.values():
+                assert node.gateway.control.listed.keys() == cluster.nodes.keys()
