Write lost records of primaries again after a restore

An instance that starts after a restore would use the replaced primary (ONE, STALE): the store's copy is older than the change of primary, and only running instances know it. Change: the coordinator, or any other instance after a second, writes stable records again that the store lost.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -69,6 +69,7 @@
     PRIMARY_DEMOTED = (417, logging.INFO, "the replaced primary was told to become a replica")
     MEMBERS_SUSPENDED = (418, logging.INFO, "members accept the new term only")
     HANDOVER_ENDED = (419, logging.INFO, "statements at the leaving primary have ended")
+    LEADERSHIP_RESTORED = (420, logging.WARNING, "lost record of a primary is written again")
     RETRY_BUDGET_EMPTY = (600, logging.WARNING, "retry budget of the route is exhausted")
     POSITION_LOST = (601, logging.ERROR, "a session requires a position that no log contains")
     COMMIT_UNRESOLVED = (602, logging.WARNING, "the outcome of a commit could not be resolved")
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -77,6 +77,7 @@
         self._on_instances_changed = on_instances_changed
         self._lease_valid_since: float | None = None
         self._leaderships: dict[str, Leadership] = {}
+        self._lost_leaderships: dict[str, Leadership] = {}
         self._listed: dict[str, RegisteredInstance] = {}
         self._unlisted = UnlistedInstances()
         self._instances: dict[str, RegisteredInstance] = {}
@@ -210,6 +211,11 @@
         """The newest known leadership record of a group."""
         return self._leaderships.get(group)
 
+    @property
+    def lost_leaderships(self) -> dict[str, Leadership]:
+        """Stable records by group that the store lost when it was restored."""
+        return self._lost_leaderships
+
     def adopt_leadership(self, group: str, leadership: Leadership) -> None:
         """Adopts a leadership record of a group if it is newer than the known one."""
         known = self._leaderships.get(group)
@@ -296,8 +302,14 @@
         if instances != self._instances:
             self._instances = instances
             self._on_instances_changed()
-        for group, leadership in self.records.leaderships().items():
+        stored = self.records.leaderships()
+        for group, leadership in stored.items():
             self.adopt_leadership(group, leadership)
+        self._lost_leaderships = {
+            group: known
+            for group, known in self._leaderships.items()
+            if _is_lost(known, stored.get(group), self.era)
+        }
 
     def _add_unlisted(self, listed: dict[str, RegisteredInstance]) -> dict[str, RegisteredInstance]:
         """Adds the instances whose registrations were lost a short time ago."""
@@ -331,3 +343,10 @@
         )
         if regained:
             self._on_lease_regained()
+
+
+def _is_lost(known: Leadership, stored: Leadership | None, era: int) -> bool:
+    """Whether the store lost a stable record when it was restored."""
+    if known.phase is not LeadershipPhase.STABLE or known.era >= era:
+        return False
+    return stored is None or stored.precedence < known.precedence
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -20,6 +20,7 @@
     replacement_reason,
 )
 from wigeonpoint.process.gateway.control._primary_change import ChangeServices, PrimaryChange
+from wigeonpoint.process.gateway.control._record_repair import RecordRepair
 from wigeonpoint.services import Promoter, RowStore
 from wigeonpoint.version.catalogue import Leadership, LeadershipPhase
 
@@ -67,6 +68,7 @@
         self._services = ChangeServices(
             control, peers, announcement_handler, claims, promoter, members
         )
+        self._repair = RecordRepair(control, claims)
         self._leaving_primary_wait_s = leaving_primary_wait_s
         self._leaving_since: dict[str, float] = {}
         self._changes: dict[str, asyncio.Task[None]] = {}
@@ -83,6 +85,7 @@
         """Stops watching; another instance takes over a change in progress."""
         if self._check_task is not None:
             self._check_task.cancel()
+        self._repair.close()
         for task in self._changes.values():
             task.cancel()
 
@@ -93,7 +96,9 @@
             if not self._lease_settled():
                 self._unreachable_since.clear()
                 continue
-            if not self._peers.is_coordinator:
+            coordinator = self._peers.is_coordinator
+            self._repair.check(coordinator=coordinator)
+            if not coordinator:
                 self._unreachable_since.clear()
                 continue
             for name, group in self._groups().items():
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -115,6 +115,9 @@
     "CATALOGUE_APPLIED": "A new version of routes and services is active on this instance.",
     "ROW_UNREADABLE": "A row, route or entry cannot be read; the others stay in use.",
     "MEMBERS_CHANGED": "The member's entry was deleted or has expired; it gets no more statements.",
+    "LEADERSHIP_RESTORED": (
+        "The store was restored from a copy that is older than the group's change of primary."
+    ),
     "STORE_RESTORED": (
         "What was written since the copy is gone and versions are given out again; the tables are "
         "read anew."
