Add tests of restores seen by cut off, returning and started instances

Instances without the store, from before the restore, started after it, two restores in a row, and a fleet in which one instance of a data centre reads for the others.

--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -23,6 +23,7 @@
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 CATALOGUE_ROW = RowKey(NAMES.operators, NAMES.catalogue_key)
+LARGE_FLEET = 12  # instances; more than all watch each other
 APPLY_S = 3.0  # an acknowledged change is active everywhere within this time
 OUTAGE_S = 2.0
 REWRITE_S = 0.3  # after the outage, operators and members have written their rows again
@@ -87,6 +88,88 @@
                 await asyncio.sleep(0.1)
                 assert not behind(cluster, "accepted")
 
+    async def test_instance_without_the_store_learns_of_the_restore_from_peers(self) -> None:
+        """Guards against an instance that takes its peers' newer copies for older ones."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            for number in range(20):
+                cluster.configure(routes(f"r{number}"))
+                await asyncio.sleep(0.1)
+            cluster.nodes["g-chur"].platform.store.cut_off = True
+            await restore(cluster, copied_at)
+            cluster.configure(routes("added"))
+            await asyncio.sleep(APPLY_S)
+            assert not behind(cluster, "added")
+            cluster.nodes["g-chur"].platform.store.cut_off = False
+            await asyncio.sleep(1.0)
+            assert not behind(cluster, "added")
+
+    async def test_instance_that_returns_from_before_the_restore_reverts_nobody(self) -> None:
+        """Guards against peers that adopt the higher version numbers of an earlier era."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            for number in range(20):
+                cluster.configure(routes(f"r{number}"))
+                await asyncio.sleep(0.1)
+            cluster.isolate("chur")
+            await asyncio.sleep(0.5)
+            await restore(cluster, copied_at)
+            cluster.configure(routes("added"))
+            await asyncio.sleep(1.0)
+            cluster.network.heal()
+            await asyncio.sleep(APPLY_S)
+            assert not behind(cluster, "added")
+
+    async def test_instance_that_starts_after_the_restore_has_the_newest_version(self) -> None:
+        """Guards against a started instance that copies the tables of an earlier era."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            for number in range(20):
+                cluster.configure(routes(f"r{number}"))
+                await asyncio.sleep(0.1)
+            cluster.kill("g-sargans")
+            cluster.nodes["g-chur"].platform.store.cut_off = True
+            await restore(cluster, copied_at)
+            cluster.configure(routes("added"))
+            cluster.start("g-sargans", "sargans")
+            await asyncio.sleep(APPLY_S)
+            assert not behind(cluster, "added")
+
+    @pytest.mark.parametrize("gap_s", [0.0, 0.5, 4.0])
+    async def test_change_after_two_restores_is_active_in_time(self, gap_s: float) -> None:
+        """Guards against a second restore that is taken for the first one."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            for number in range(20):
+                cluster.configure(routes(f"r{number}"))
+                await asyncio.sleep(0.1)
+            await restore(cluster, copied_at, outage_s=0.0)
+            cluster.configure(routes("between"))
+            await asyncio.sleep(gap_s)
+            await restore(cluster, copied_at, outage_s=0.0)
+            cluster.configure(routes("added"))
+            await asyncio.sleep(APPLY_S)
+            assert not behind(cluster, "added")
+
+    @pytest.mark.parametrize("outage_s", [0.0, OUTAGE_S])
+    async def test_change_after_a_restore_reaches_a_large_fleet(self, outage_s: float) -> None:
+        """Guards against instances that copy tables of which no reader knows the new era."""
+        async with GatewayCluster() as cluster:
+            for member in cluster.group.members.values():
+                member.connection_limit = 8 * LARGE_FLEET
+            for number in range(LARGE_FLEET - len(DATA_CENTRES)):
+                data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+                cluster.start(f"h-{data_centre}-{number}", data_centre)
+            await asyncio.sleep(2.0)
+            copied_at = cluster.store.version
+            for number in range(20):
+                cluster.configure(routes(f"r{number}"))
+                await asyncio.sleep(0.1)
+            await restore(cluster, copied_at, outage_s=outage_s)
+            cluster.configure(routes("added"))
+            await asyncio.sleep(APPLY_S)
+            assert not behind(cluster, "added")
+
     @pytest.mark.parametrize("versions_back", [0, 1, 3])
     async def test_version_given_out_again_with_other_content_is_active_in_time(
         self, versions_back: int
--- /dev/null
+++ b/tests/gateway/test_table_feed.py
@@ -0,0 +1,58 @@
+"""Tests of the copy of one table, against a store that answers as it is told."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from wigeonpoint.errors import StoreUnavailable
+from wigeonpoint.process.gateway._table_feed import TableFeed
+from wigeonpoint.services import HistoryLost, RowsRead, RowTransaction, VersionedRow
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+
+class LaggingStore:
+    """A store without history, whose reads of whole tables are behind."""
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+        self.calls = 0
+
+    async def read(self, table: str) -> RowsRead:
+        """Reads the table as of the version."""
+        self.calls += 1
+        await asyncio.sleep(0.004)
+        return RowsRead([VersionedRow(table, "a", b"", self.version)], self.version)
+
+    async def changes(self, table: str, *, after: int, wait_s: float) -> RowsRead:
+        """Has no changes after any version."""
+        self.calls += 1
+        await asyncio.sleep(0.004)
+        raise HistoryLost
+
+    async def commit(self, transaction: RowTransaction) -> int:
+        """Is not called."""
+        raise NotImplementedError
+
+
+class TestLostHistory:
+    """A store that drops its history while its reads are behind."""
+
+    async def test_read_that_is_behind_renews_no_lease(self) -> None:
+        """Guards against a lease that rests on control rows from before a change of primary."""
+        feed = TableFeed(LaggingStore(5), "t", lambda: None)
+        feed.adopt(RowsRead([], 10), 10)
+        with pytest.raises(StoreUnavailable):
+            await feed.poll()
+
+    async def test_store_is_not_called_without_a_pause(self) -> None:
+        """Guards against a feed that repeats its calls while the reads are behind."""
+        store = LaggingStore(5)
+        feed = TableFeed(store, "t", lambda: None)
+        feed.adopt(RowsRead([], 10), 10)
+        feed.start()
+        await asyncio.sleep(5.0)
+        feed.close()
+        assert store.calls <= 5.0 / 0.1
