Move the exchange of tables out of the pings, and name versions by number and era

Messages carry the number and the era of a version apart, so that instances of the build before, which know only numbers, do not adopt versions that their store calls lack history for. What they send counts for the era that is known here.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -30,6 +30,7 @@
     store_read_age_s,
 )
 from wigeonpoint.process.gateway.relay import RelayLinks, RelayService
+from wigeonpoint.services import era_of, number_of
 from wigeonpoint.version.catalogue import RegisteredInstance
 
 MAINTENANCE_INTERVAL_S = 0.25
@@ -212,6 +213,11 @@
     def _own_state(self) -> GatewayState:
         """Returns the state of this instance that is sent to peers."""
         names = self._platform.tables
+        changed = {
+            CONTROL_TABLE: self.control.feed.changed,
+            names.operators: self.view.operators.changed,
+            names.members: self.view.members.changed,
+        }
         unreachable = {
             name: round(seconds, 3)
             for name, group in self.view.groups.items()
@@ -219,11 +225,8 @@
         }
         return GatewayState(
             name=self._settings.instance_id,
-            changed={
-                CONTROL_TABLE: self.control.feed.changed,
-                names.operators: self.view.operators.changed,
-                names.members: self.view.members.changed,
-            },
+            changed={table: number_of(version) for table, version in changed.items()},
+            eras={table: era_of(version) for table, version in changed.items()},
             store_evidence_age_s=store_read_age_s(self.control),
             unreachable=unreachable,
             leaving=self._draining,
--- a/src/wigeonpoint/process/gateway/control/_messages.py
+++ b/src/wigeonpoint/process/gateway/control/_messages.py
@@ -14,12 +14,14 @@
     Attributes:
         key: Key within the table.
         value: The row's bytes, as Latin-1 text.
-        version: Version of the row.
+        version: Number of the row's version.
+        era: Era of the version, None from an instance that knows only numbers.
     """
 
     key: str
     value: str
     version: int
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +58,7 @@
 
     Attributes:
         name: Name of the instance.
-        changed: Version of the last known change of each table that it follows.
+        changed: Number of the version of the last known change of each table that it follows.
         store_evidence_age_s: Seconds since the latest store read that it knows of, None if that is
             longer ago than a lease lasts.
         unreachable: Seconds for which it has not reached the primary, by group; groups with a
@@ -66,6 +68,7 @@
         in_contact: Registered instances that it reaches.
         vouched: Primaries with a valid quorum lease, by group.
         follows_store: Whether it follows the store's tables itself and the store answers it.
+        eras: Eras of the versions in `changed`.
     """
 
     name: str
@@ -77,6 +80,7 @@
     in_contact: list[str] = field(default_factory=list)
     vouched: dict[str, ConfirmedPrimary] = field(default_factory=dict)
     follows_store: bool = False
+    eras: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,16 +96,20 @@
 
     Attributes:
         rows: All rows.
-        version: Store version up to which the copy is complete, 0 if there is no copy.
-        changed: Version of the last known change of the table.
+        version: Number of the store version up to which the copy is complete, 0 if there is none.
+        changed: Number of the version of the last known change of the table.
         stable: Whether the store has answered the sender without a recent failure. After a failure,
             rows may be missing that are written again soon.
+        era: Era of the version, None from an instance that knows only numbers.
+        changed_era: Era of the last known change.
     """
 
     rows: list[TableRow]
     version: int
     changed: int
     stable: bool = True
+    era: int | None = None
+    changed_era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,12 +119,14 @@
     Attributes:
         group: Name of the group.
         leadership: The record.
-        version: Version of its row in the store, 0 if it is not stored yet.
+        version: Number of the version of its row in the store, 0 if it is not stored yet.
+        era: Era of the version, None from an instance that knows only numbers.
     """
 
     group: str
     leadership: Leadership
     version: int
+    era: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -17,21 +17,17 @@
 from wigeonpoint.process.gateway.control._messages import (
     AnnounceLeadership,
     ConfirmedPrimary,
-    FetchTable,
     GatewayPing,
     GatewayState,
     LeadershipAdopted,
-    TableCopy,
-    TableRow,
 )
 from wigeonpoint.process.gateway.control._policy import choose_coordinator
-from wigeonpoint.process.gateway.control._records import CONTROL_TABLE
+from wigeonpoint.process.gateway.control._table_exchange import TableExchange
 from wigeonpoint.process.gateway.control._watch_set import (
     FULL_MESH_LIMIT,
     store_reader,
     watch_set,
 )
-from wigeonpoint.services import RowsRead, VersionedRow, version_fields
 from wigeonpoint.version.catalogue import RegisteredInstance
 
 PING_INTERVAL_S = 0.15
@@ -45,8 +41,6 @@
 PING_TIMEOUT_S = 0.25
 # A later answer has all members in the peer's data centre probed, which costs a connection each.
 LATE_ANSWER_S = 0.08
-FETCH_TIMEOUT_S = 0.6
-BEHIND_PING_LIMIT = 2  # a working feed of the own brings a change within fewer pings
 STATE_MAX_AGE_S = 0.8
 STORE_CONTACT_S = 2 * LEASE_DURATION_S  # an instance that follows the store reads it more often
 # A peer's view of primaries is used for two ping intervals and this margin.
@@ -90,7 +84,7 @@
     ) -> None:
         self._control = control
         self._transport = transport
-        self._tables = tables
+        self._tables = TableExchange(transport, tables)
         self._own_state = own_state
         self._seeds = [seed for seed in seeds if seed != address]
         self._address = address
@@ -107,13 +101,12 @@
         self._watched_holder: str | None = None
         self._watched: frozenset[str] = frozenset()
         self._states: dict[str, tuple[float, GatewayState]] = {}
-        self._behind: dict[tuple[str, str], int] = {}
         self._update_task: asyncio.Task[None] | None = None
 
     def register(self, dispatcher: PeerDispatcher) -> None:
         """Registers the handlers of pings and of requests for table copies."""
         dispatcher.register(GatewayPing, self._answer_ping)
-        dispatcher.register(FetchTable, self._answer_fetch)
+        self._tables.register(dispatcher)
 
     def start(self) -> None:
         """Starts pinging."""
@@ -287,7 +280,7 @@
                 state = await self._transport.request(
                     address, self._ping, GatewayState, timeout=PING_TIMEOUT_S
                 )
-                await self._fetch_newer_tables(address, state)
+                await self._tables.fetch_newer(address, state)
             except WigeonpointError as error:
                 self._transport.disconnect(address)
                 if reached:
@@ -332,50 +325,11 @@
             state.name, asked_at=asked_at, store_read_age_s=state.store_evidence_age_s
         )
 
-    async def _fetch_newer_tables(self, address: str, state: GatewayState) -> None:
-        """Fetches tables of which the peer knows later changes.
-
-        Raises:
-            WigeonpointError: A table could not be fetched. Without the newest control rows, the
-                peer's answer must not renew the lease of this instance.
-        """
-        for table, feed in self._tables.items():
-            peer_changed = state.changed.get(table, 0)
-            if peer_changed <= feed.changed and (feed.loaded or not peer_changed):
-                self._behind.pop((address, table), None)
-                continue
-            behind = self._behind[address, table] = self._behind.get((address, table), 0) + 1
-            if table == CONTROL_TABLE or behind >= BEHIND_PING_LIMIT or not feed.loaded:
-                await self._fetch(address, table, feed)
-
-    async def _fetch(self, address: str, table: str, feed: TableFeed) -> None:
-        copy = await self._transport.request(
-            address, FetchTable(table), TableCopy, timeout=FETCH_TIMEOUT_S
-        )
-        rows = [
-            VersionedRow(table, row.key, row.value.encode("latin-1"), row.version)
-            for row in copy.rows
-        ]
-        read = RowsRead(rows, copy.version)
-        if feed.adopt(read, copy.changed, stable=copy.stable):
-            fields = version_fields(copy.version)
-            log_event(Event.TABLE_COPIED, table=table, address=address, **fields)
-
     async def _answer_ping(self, ping: GatewayPing) -> GatewayState:
         registered = self._control.listed.get(ping.sender)
         sender = RegisteredInstance(ping.address, ping.data_centre)
         return replace(self._own_state(), knows_sender=registered == sender)
 
-    async def _answer_fetch(self, request: FetchTable) -> TableCopy:
-        feed = self._tables.get(request.table)
-        if feed is None or not feed.loaded:
-            return TableCopy([], 0, 0)
-        rows = [
-            TableRow(row.key, row.value.decode("latin-1"), row.version)
-            for row in feed.rows.values()
-        ]
-        return TableCopy(rows, feed.version, feed.changed, feed.stable)
-
 
 def store_read_age_s(control: ControlState) -> float | None:
     """Seconds since the latest store read, None if that is longer ago than a lease lasts."""
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -19,7 +19,7 @@
 from wigeonpoint.process.gateway.control._policy import ReplacementReason, choose_candidate
 from wigeonpoint.process.gateway.control._quorum_leases import blocks_old_quorum
 from wigeonpoint.process.gateway.control._records import group_row
-from wigeonpoint.services import Promoter
+from wigeonpoint.services import Promoter, era_of, number_of
 from wigeonpoint.version.catalogue import Leadership, LeadershipPhase, MemberRecord
 
 PROMOTION_ATTEMPTS = 4
@@ -159,10 +159,9 @@
 
     async def _announce_claim(self, claim: Claim) -> set[str]:
         """Announces a claim to all instances; gives the names of the peers that confirmed it."""
+        version = self._control.records.version(group_row(self._name).key)
         message = AnnounceLeadership(
-            self._name,
-            claim.leadership,
-            version=self._control.records.version(group_row(self._name).key),
+            self._name, claim.leadership, version=number_of(version), era=era_of(version)
         )
         confirmed, _ = await asyncio.gather(
             self._peers.announce(message, timeout=LEASE_DURATION_S),
