Give the registered instances a class of their own

The control state held the listed, the lost and all instances and those but itself, each with its own rules; the fleet holds them now.

--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -12,6 +12,7 @@
 from wigeonpoint.process.gateway._store_era import StoreEra
 from wigeonpoint.process.gateway._suspension import Clock
 from wigeonpoint.process.gateway._table_feed import TableFeed
+from wigeonpoint.process.gateway.control._fleet import UNLISTED_GRACE_S, RegisteredFleet
 from wigeonpoint.process.gateway.control._handover import Handover
 from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S, Lease
 from wigeonpoint.process.gateway.control._lease_keeper import LeaseKeeper
@@ -22,7 +23,6 @@
     ControlRecords,
 )
 from wigeonpoint.process.gateway.control._registration import Registration
-from wigeonpoint.process.gateway.control._unlisted import UNLISTED_GRACE_S, UnlistedInstances
 from wigeonpoint.process.gateway.control._watch_set import FULL_MESH_LIMIT, store_reader
 from wigeonpoint.services import RowStore
 from wigeonpoint.version.catalogue import (
@@ -78,11 +78,8 @@
         self._lease_valid_since: float | None = None
         self._leaderships: dict[str, Leadership] = {}
         self._lost_leaderships: dict[str, Leadership] = {}
-        self._listed: dict[str, RegisteredInstance] = {}
-        self._unlisted = UnlistedInstances()
-        self._instances: dict[str, RegisteredInstance] = {}
-        self._peers: dict[str, RegisteredInstance] = {}
-        self._peers_of = self._instances  # from which the peers were derived
+        self._fleet = RegisteredFleet(name)
+        self._unlisted_timer: asyncio.TimerHandle | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._handovers: dict[str, Handover] = {}
         self.lease = Lease(clock)
@@ -113,7 +110,7 @@
     @property
     def listed(self) -> dict[str, RegisteredInstance]:
         """Instances by name whose registration the store holds."""
-        return self._listed
+        return self._fleet.listed
 
     @property
     def instances(self) -> dict[str, RegisteredInstance]:
@@ -122,20 +119,17 @@
         An instance whose registration was lost in a restore of the store is kept until it has had
         the time to register again.
         """
-        return self._instances
+        return self._fleet.instances
 
     @property
     def peers(self) -> dict[str, RegisteredInstance]:
         """Registered instances by name, without this one."""
-        if self._peers_of is not self._instances:
-            self._peers_of = self._instances
-            self._peers = {n: peer for n, peer in self._instances.items() if n != self._name}
-        return self._peers
+        return self._fleet.peers
 
     @property
     def registered(self) -> bool:
         """Whether this instance is registered, so that claimants wait for its confirmation."""
-        return self._listed.get(self._name) == self._registration.row
+        return self.listed.get(self._name) == self._registration.row
 
     @property
     def registered_before(self) -> bool:
@@ -145,9 +139,9 @@
     @property
     def reads_for_others(self) -> bool:
         """Whether this instance reads the store on behalf of its data centre, or of itself only."""
-        if len(self._instances) <= FULL_MESH_LIMIT or not self.registered:
+        if len(self.instances) <= FULL_MESH_LIMIT or not self.registered:
             return True
-        return store_reader(self._name, self._instances) == self._name
+        return store_reader(self._name, self.instances) == self._name
 
     def _quorum_leases_due_s(self) -> float:
         """Seconds until quorum leases are needed if nothing renews the lease; 0 if they are now."""
@@ -257,6 +251,8 @@
     def close(self) -> None:
         """Stops all tasks."""
         self.feed.close()
+        if self._unlisted_timer is not None:
+            self._unlisted_timer.cancel()
         self._quorum_leases.close()
         for handover in self._handovers.values():
             handover.close()
@@ -273,8 +269,7 @@
         Args:
             timeout: Seconds to wait for the store.
         """
-        self._instances = self.peers
-        self._listed = {name: one for name, one in self._listed.items() if name != self._name}
+        self._fleet.leave()
         await self._registration.end(timeout=timeout)
 
     def _start_handover(self, group: Group, leadership: Leadership) -> Handover | None:
@@ -295,12 +290,13 @@
         listed = self.records.instances()
         if self._registration.leaving:
             listed.pop(self._name, None)
-        self._listed = listed
-        instances = self._add_unlisted(listed)
-        for name in self._instances.keys() - instances.keys():
+        known = self.instances
+        for name in self._fleet.update(listed, era=self.era, now=self.lease.now):
             self.lease.forget_peer(name)
-        if instances != self._instances:
-            self._instances = instances
+        if self._fleet.unlisted and self._unlisted_timer is None:
+            loop = asyncio.get_running_loop()
+            self._unlisted_timer = loop.call_later(UNLISTED_GRACE_S, self._end_unlisted_grace)
+        if self.instances is not known:
             self._on_instances_changed()
         stored = self.records.leaderships()
         for group, leadership in stored.items():
@@ -311,16 +307,9 @@
             if _is_lost(known, stored.get(group), self.era)
         }
 
-    def _add_unlisted(self, listed: dict[str, RegisteredInstance]) -> dict[str, RegisteredInstance]:
-        """Adds the instances whose registrations were lost a short time ago."""
-        now = self.lease.now
-        if self._unlisted.note(listed, self._instances, era=self.era, now=now):
-            loop = asyncio.get_running_loop()
-            loop.call_later(UNLISTED_GRACE_S, self._apply_rows)
-        unlisted = self._unlisted.instances(now)
-        if self._registration.leaving:
-            unlisted.pop(self._name, None)
-        return unlisted | listed
+    def _end_unlisted_grace(self) -> None:
+        self._unlisted_timer = None
+        self._apply_rows()
 
     async def _watch_lease(self) -> None:
         """Logs when the lease is lost and regained."""
