--- a/src/wigeonpoint/process/gateway/_metrics.py
+++ b/src/wigeonpoint/process/gateway/_metrics.py
@@ -73,9 +73,11 @@
         ):
             Gauge(f"wigeonpoint_{name}", text, registry=registry).set({}, float(value))
         calls = Gauge("wigeonpoint_store_calls_total", "Calls by table.", registry=registry)
+        era = Gauge("wigeonpoint_store_era", "Restores of the store, by table.", registry=registry)
         feeds = {"control": control.feed, "operators": gateway.view.operators}
         for table, feed in (feeds | {"members": gateway.view.members}).items():
             calls.set({"table": table}, feed.calls)
+            era.set({"table": table}, feed.era)
 
     def _add_members(self, registry: Registry) -> None:
         pools = [
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from tests.gateway._cluster import GatewayCluster
@@ -36,6 +38,16 @@
             assert 'member="m-chur",role="primary"' in text
             assert 'wigeonpoint_store_calls_total{table="members"}' in text
 
+    async def test_restore_of_the_store_is_shown_for_each_table(self) -> None:
+        """Guards against a feed that follows an earlier era without a metric that shows it."""
+        async with GatewayCluster() as cluster:
+            cluster.store.restore(cluster.store.version)
+            await asyncio.sleep(2.5)
+            gateway = cluster.nodes["g-chur"].gateway
+            text = GatewayMetrics(gateway).render([])[0].decode()
+            for table in ("control", "operators", "members"):
+                assert f'wigeonpoint_store_era{{table="{table}"}} 1' in text
+
     async def test_connections_of_a_relay_are_shown(self) -> None:
         """Guards against a relay whose queue is seen by no metric."""
         async with RelayedFleet() as fleet:
