--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -357,6 +357,27 @@
             tokens = [call.token for call in cluster.promotion_calls]
             assert tokens == sorted(tokens)
 
+    @pytest.mark.parametrize("after_s", [0.02, 0.3, 0.8])
+    async def test_planned_change_that_the_restore_interrupts_is_made(self, after_s: float) -> None:
+        """Guards against a leaving primary that nobody replaces because its claim was lost."""
+        async with GatewayCluster() as cluster:
+            copied_at = cluster.store.version
+            caller = await cluster.caller("g-stgallen", "current")
+            values = await write_values(caller, 3)
+            leaving = cluster.member("chur")
+            cluster.announce_shutdown(leaving)
+            while not any(
+                row.table == CONTROL_TABLE and "group" in row.key for row in rows(cluster)
+            ):
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(after_s)
+            cluster.store.restore(copied_at)
+            await asyncio.sleep(6.0)
+            result, _ = await cluster.write_until_served(caller, "WRITE a x", within_s=1.0)
+            assert result.served
+            assert cluster.group.leader() is not leaving
+            assert_logged_once(cluster, [*values, "x"])
+
     async def test_claimant_waits_for_an_instance_whose_registration_was_lost(self) -> None:
         """Guards against a change of primary that an instance with a valid lease does not know."""
         async with GatewayCluster() as cluster:
