Add failing tests of changes behind lost calls, and of the end of an outage

In a play in which the store is silent for all machines from 11 to 15 s, the control feed counted as unreachable until 23.2 s.

--- a/tests/gateway/_platform.py
+++ b/tests/gateway/_platform.py
@@ -15,6 +15,7 @@
 from wigeonpoint.backend import MemberRole
 from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.errors import ConditionFailed, StoreUnavailable
+from wigeonpoint.platform._store import FEED_MARGIN_S
 from wigeonpoint.process.gateway import IsReady, ServeCaller, TableNames
 from wigeonpoint.request import Rank
 from wigeonpoint.services import (
@@ -50,6 +51,8 @@
         era: Number of restores so far.
         down: Whether it is unavailable to all.
         lose_answers: Number of next commits whose answers are lost after they were applied.
+        calls_lost_at: Event-loop time in seconds at which all waiting calls were lost; they are never
+            answered.
         silent_s: Seconds after which a call that is not answered fails.
         calls: Number of calls so far.
     """
@@ -61,6 +64,7 @@
     era: int = 0
     down: bool = False
     lose_answers: int = 0
+    calls_lost_at: float = float("-inf")
     silent_s: float = UNREACHABLE_TIMEOUT_S
     calls: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -153,12 +157,16 @@
 
         A call that waits through a restore goes on waiting for a higher version number.
         """
+        began = asyncio.get_running_loop().time()
         await self._delay_call()
         end = asyncio.get_running_loop().time() + wait_s
         number = number_of(after)
         if era_of(after) != self._store.era or not self._store.has_history(number):
             raise HistoryLost
         while True:
+            if began < self._store.calls_lost_at:
+                await asyncio.sleep(end + FEED_MARGIN_S - asyncio.get_running_loop().time())
+                raise StoreUnavailable("no answer in time")
             rows = [
                 row for row in self._store.history if row.table == table and row.version > number
             ]
