Ask the store without waiting after a failure, to learn at once that it is back

Members whose rows are gone stayed in use, and the regular read that finds a restore was off, for up to eight seconds after an outage (DRAIN, CONFIG). Cause: the first call after a failure waits for changes; a store that has none answers it after eight seconds, and until then counts as unreachable. Change: that call does not wait. Evidence: test_store_counts_as_reachable_soon_after_an_outage failed before.

--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -40,6 +40,7 @@
         table: Name of the table.
         on_change: Called after every change of the copy.
         follows: Tells whether to follow the store; while it does not, others' copies are adopted.
+        wait_s: Longest time in seconds for which a call waits for changes.
         store_era: The era that the feeds of this instance follow together.
         random_source: Source of the jitter between attempts.
     """
@@ -51,6 +52,7 @@
         on_change: OnChange,
         *,
         follows: Callable[[], bool] = lambda: True,
+        wait_s: float = FEED_WAIT_S,
         store_era: StoreEra | None = None,
         random_source: random.Random | None = None,
     ) -> None:
@@ -58,6 +60,7 @@
         self._table = table
         self._on_change = on_change
         self._follows = follows
+        self._wait_s = wait_s
         self._store_era = store_era or StoreEra()
         self._store_era.subscribe(self._restart_call)
         self._waiting_in_era: int | None = None  # while a call waits for changes
@@ -188,7 +191,9 @@
         """Waits for changes; reads the whole table if the store does not have them."""
         self._waiting_in_era = self.era
         try:
-            changes = await self._fetch_changes(wait_s=FEED_WAIT_S)
+            # After a failure, an answer at once tells that the store is back.
+            wait_s = self._wait_s if self._reachable else 0.0
+            changes = await self._fetch_changes(wait_s=wait_s)
         except HistoryLost:
             log_event(Event.HISTORY_LOST, table=self._table, **version_fields(self._version))
             changes = None
