Wait for changes of the configuration in calls that are short enough to lose

Cause: after each change the feeds of all instances begin to wait at the same moment, for eight seconds and one more; if these calls are lost together, no instance and so no peer learns of the next change. Change: a call for the operators' table waits for 0.6 of the time in which a change must be active, which the settings tell. This also finds a restore of the store in time, so the read of the control table once a second, added before, is taken out again.

--- a/src/wigeonpoint/platform/_settings.py
+++ b/src/wigeonpoint/platform/_settings.py
@@ -15,6 +15,7 @@
 DEFAULT_PATH = Path("/etc/wigeonpoint/settings.toml")
 DEFAULT_GRACE_S = 6.0
 DEFAULT_DRAIN_MS = 7000.0
+DEFAULT_CONFIGURATION_MS = 3000.0
 
 
 class _WireModel(BaseModel):
@@ -34,6 +35,7 @@
 class _WireContractParams(_WireModel):
     graceS: float = DEFAULT_GRACE_S  # noqa: N815
     drainMs: float = DEFAULT_DRAIN_MS  # noqa: N815
+    configApplyMs: float = Field(default=DEFAULT_CONFIGURATION_MS, gt=0)  # noqa: N815
 
 
 class _WireSettings(_WireModel):
@@ -98,6 +100,7 @@
         promotion_address=wire.cloudApi.address if wire.cloudApi else None,
         grace_s=wire.contractParams.graceS,
         leaving_s=wire.contractParams.drainMs / 1000,
+        configuration_s=wire.contractParams.configApplyMs / 1000,
     )
 
 
--- a/src/wigeonpoint/platform/_store.py
+++ b/src/wigeonpoint/platform/_store.py
@@ -24,7 +24,7 @@
 )
 
 CALL_TIMEOUT_S = 1.0
-FEED_MARGIN_S = 1.0  # added to the time for which the feed may hold its response back
+FEED_MARGIN_S = 0.75  # added to the time for which the feed may hold its response back
 READ_ATTEMPTS = 3  # of a table, when the store is restored between two of its pages
 _STATUS_HISTORY_LOST = 410
 _STATUS_CONDITION_FAILED = 412
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -80,6 +80,7 @@
             self._relay_links,
             own=settings.instance_id,
             clock=clock,
+            configuration_s=settings.configuration_s,
             store_era=store_era,
             follows_store=lambda: self.peers.follows_store,
         )
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -12,7 +12,7 @@
 from wigeonpoint.process.gateway._platform import GatewayPlatform
 from wigeonpoint.process.gateway._store_era import StoreEra
 from wigeonpoint.process.gateway._suspension import Clock
-from wigeonpoint.process.gateway._table_feed import OnChange, TableFeed
+from wigeonpoint.process.gateway._table_feed import FEED_WAIT_S, OnChange, TableFeed
 from wigeonpoint.process.gateway.relay import RelayingConnector, RelayLinks
 from wigeonpoint.services import VersionedRow, era_of, number_of
 from wigeonpoint.version.catalogue import (
@@ -27,6 +27,9 @@
 # Operators write their newest version again within this time after a restore of the store. A lower
 # version that the store still holds then is the one that they go on from.
 REISSUE_SETTLING_S = 1.5
+# Of the time in which a change must be active, for one call to wait for it. Calls of all instances
+# begin together after a change; if they are lost together, the next calls must still be in time.
+CONFIGURATION_WAIT_SHARE = 0.6
 
 
 class PlatformView:
@@ -39,6 +42,7 @@
         links: Links to the relays of members.
         own: Name of this instance.
         clock: Gives seconds; it must also count the time for which the machine is suspended.
+        configuration_s: Seconds within which a change of the configuration must be active.
         store_era: The era that the feeds of this instance follow together.
         follows_store: Tells whether to follow the store, not only the copies of other instances.
     """
@@ -52,6 +56,7 @@
         *,
         own: str,
         clock: Clock,
+        configuration_s: float,
         store_era: StoreEra,
         follows_store: Callable[[], bool],
     ) -> None:
@@ -75,12 +80,18 @@
         self._loaded_event = asyncio.Event()
         names = platform.tables
 
-        def feed(table: str, on_change: OnChange) -> TableFeed:
+        def feed(table: str, on_change: OnChange, *, wait_s: float = FEED_WAIT_S) -> TableFeed:
             return TableFeed(
-                platform.store, table, on_change, follows=follows_store, store_era=store_era
+                platform.store,
+                table,
+                on_change,
+                follows=follows_store,
+                wait_s=wait_s,
+                store_era=store_era,
             )
 
-        self.operators = feed(names.operators, self._apply_operators)
+        wait_s = min(CONFIGURATION_WAIT_SHARE * configuration_s, FEED_WAIT_S)
+        self.operators = feed(names.operators, self._apply_operators, wait_s=wait_s)
         self.members = feed(names.members, self._apply_members)
 
     @property
--- a/src/wigeonpoint/process/gateway/_settings.py
+++ b/src/wigeonpoint/process/gateway/_settings.py
@@ -20,6 +20,7 @@
         promotion_address: `host:port` of the platform's promotion service, None if it has none.
         grace_s: Seconds from SIGTERM until the process is killed.
         leaving_s: Seconds for which a leaving member goes on serving.
+        configuration_s: Seconds within which a change of the configuration must be active.
     """
 
     instance_id: str
@@ -32,3 +33,4 @@
     promotion_address: str | None
     grace_s: float
     leaving_s: float
+    configuration_s: float
--- a/src/wigeonpoint/process/gateway/control/_lease.py
+++ b/src/wigeonpoint/process/gateway/control/_lease.py
@@ -43,7 +43,6 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._store_read_at = float("-inf")
-        self._heard_store_read_at = float("-inf")
         self._answers: dict[str, PeerAnswer] = {}
 
     @property
@@ -72,8 +71,6 @@
         """
         read_at = None if store_read_age_s is None else asked_at - store_read_age_s
         self._answers[peer] = PeerAnswer(asked_at, read_at)
-        if read_at is not None:
-            self._heard_store_read_at = max(self._heard_store_read_at, read_at)
 
     def forget_peer(self, peer: str) -> None:
         """Forgets the last answer of a peer."""
@@ -93,14 +90,6 @@
         """Seconds since this instance itself last read the store."""
         return self._clock() - self._store_read_at
 
-    @property
-    def latest_store_read_at(self) -> float:
-        """Time of the latest store read of which this instance ever heard.
-
-        Peers do not tell of reads that are too old to renew a lease.
-        """
-        return max(self._store_read_at, self._heard_store_read_at)
-
     def store_read_age_s(self) -> float:
         """Seconds since the latest store read, by this instance or by a peer."""
         return self._clock() - self.store_read_at()
--- a/src/wigeonpoint/process/gateway/control/_lease_keeper.py
+++ b/src/wigeonpoint/process/gateway/control/_lease_keeper.py
@@ -1,15 +1,10 @@
-"""Renews the lease of an instance by reading the store when peers do not renew it in time.
-
-Also reads the store from time to time while peers renew the lease: calls that wait for changes do
-not end when the store is restored from an older copy, but the answer to a read shows it.
-"""
+"""Renews the lease of an instance by reading the store when peers do not renew it in time."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 from collections.abc import Callable, Collection
-from math import inf
 
 from wigeonpoint.errors import StoreUnavailable
 from wigeonpoint.process.gateway._table_feed import TableFeed
@@ -26,11 +21,6 @@
 STORE_LATENCY_WEIGHT = 0.3  # of the newest measurement in the moving average
 STORE_READ_MARGIN_S = 0.1
 MIN_CHECK_INTERVAL_S = 0.01
-# Some instance of the fleet reads the store this often, to find that it was restored well within
-# the few seconds in which a change must be active. The spread lets one read serve all instances.
-RESTORE_CHECK_S = 0.9
-RESTORE_CHECK_SPREAD = 2.0
-SAME_READ_S = 0.05  # peers tell the time of one store read with small differences
 
 
 class LeaseKeeper:
@@ -55,8 +45,7 @@
         self._peers = peers
         self._reads_for_others = reads_for_others
         self._random = random.Random()
-        self._delays_chosen_for = -inf
-        self._restore_check_delay_s = RESTORE_CHECK_S
+        self._read_delay_chosen_for = float("-inf")
         self._read_delay_s = STORE_READ_AFTER_S
         self._store_latency_s = 0.0
 
@@ -64,10 +53,7 @@
         """Keeps the lease renewed until it is cancelled."""
         while True:
             # Nothing that needs a primary can be served until the control rows are loaded.
-            remaining_s = min(
-                self._due_s() - self._lease.age_s(self._peers()),
-                self._restore_check_at() - self._lease.now,
-            )
+            remaining_s = self._due_s() - self._lease.age_s(self._peers())
             if self._feed.loaded and remaining_s <= 0:
                 await self._read_store()
             await asyncio.sleep(
@@ -81,7 +67,10 @@
 
         The random part is chosen once for each store read that the lease goes back to.
         """
-        self._choose_delays()
+        read_at = self._lease.store_read_at()
+        if read_at != self._read_delay_chosen_for:
+            self._read_delay_chosen_for = read_at
+            self._read_delay_s = self._random.uniform(STORE_READ_EARLIEST_S, STORE_READ_LATEST_S)
         if self._reads_for_others():
             return STORE_READ_AFTER_S
         latest = (
@@ -89,27 +78,6 @@
         )
         return max(min(self._read_delay_s, latest), 0.0)
 
-    def _restore_check_at(self) -> float:
-        """Time in seconds at which the store is read next unless a peer reads it before.
-
-        While the store does not answer, the feed repeats its calls and finds a restore itself.
-        """
-        if not self._feed.reachable:
-            return inf
-        self._choose_delays()
-        return self._lease.latest_store_read_at + self._restore_check_delay_s
-
-    def _choose_delays(self) -> None:
-        """Chooses the random delays anew once there was another store read."""
-        read_at = self._lease.latest_store_read_at
-        if read_at - self._delays_chosen_for < SAME_READ_S:
-            return
-        self._delays_chosen_for = read_at
-        self._read_delay_s = self._random.uniform(STORE_READ_EARLIEST_S, STORE_READ_LATEST_S)
-        self._restore_check_delay_s = RESTORE_CHECK_S * self._random.uniform(
-            1.0, RESTORE_CHECK_SPREAD
-        )
-
     async def _read_store(self) -> None:
         asked_at = self._lease.now
         try:
--- a/tests/gateway/_cluster.py
+++ b/tests/gateway/_cluster.py
@@ -202,6 +202,7 @@
             promotion_address="promotion",
             grace_s=GRACE_S,
             leaving_s=7.0,
+            configuration_s=3.0,
         )
         loop = asyncio.get_running_loop()
         gateway = Gateway(
--- a/tests/userplatform/test_end_to_end.py
+++ b/tests/userplatform/test_end_to_end.py
@@ -77,6 +77,7 @@
             promotion_address=self.platform.address,
             grace_s=2.0,
             leaving_s=7.0,
+            configuration_s=3.0,
         )
         self.gateway = Gateway(settings, UserPlatform(settings))
         self.gateway.start()
