--- a/tests/gateway/_cluster.py
+++ b/tests/gateway/_cluster.py
@@ -212,6 +212,15 @@
         gateway.start()
         return gateway
 
+    async def grow(self, size: int) -> None:
+        """Starts further gateways, and raises the members' connection limits accordingly."""
+        for member in self.group.members.values():
+            member.connection_limit = 8 * size
+        for number in range(size - len(DATA_CENTRES)):
+            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            self.start(f"h-{data_centre}-{number}", data_centre)
+        await asyncio.sleep(2.0)
+
     def kill(self, name: str) -> None:
         """Stops a gateway at once, as a crash does."""
         node = self.nodes.pop(name)
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -47,6 +47,13 @@
         cluster.rewrite_configuration()
 
 
+async def change_often(cluster: GatewayCluster) -> None:
+    """Makes many changes of the configuration, which a restore takes back."""
+    for number in range(20):
+        cluster.configure(routes(f"r{number}"))
+        await asyncio.sleep(0.2)
+
+
 def rows(cluster: GatewayCluster) -> list[VersionedRow]:
     """All rows of the store."""
     return list(cluster.store.rows.values())
@@ -69,9 +76,7 @@
         """Guards against feeds that ignore all rows whose versions are given out again."""
         async with GatewayCluster() as cluster:
             copied_at = cluster.store.version
-            for number in range(20):
-                cluster.configure(routes(f"r{number}"))
-                await asyncio.sleep(0.2)
+            await change_often(cluster)
             await restore(cluster, copied_at, outage_s=outage_s)
             cluster.configure(routes("added"))
             await asyncio.sleep(APPLY_S)
@@ -92,9 +97,7 @@
         """Guards against an instance that takes its peers' newer copies for older ones."""
         async with GatewayCluster() as cluster:
             copied_at = cluster.store.version
-            for number in range(20):
-                cluster.configure(routes(f"r{number}"))
-                await asyncio.sleep(0.1)
+            await change_often(cluster)
             cluster.nodes["g-chur"].platform.store.cut_off = True
             await restore(cluster, copied_at)
             cluster.configure(routes("added"))
@@ -108,9 +111,7 @@
         """Guards against peers that adopt the higher version numbers of an earlier era."""
         async with GatewayCluster() as cluster:
             copied_at = cluster.store.version
-            for number in range(20):
-                cluster.configure(routes(f"r{number}"))
-                await asyncio.sleep(0.1)
+            await change_often(cluster)
             cluster.isolate("chur")
             await asyncio.sleep(0.5)
             await restore(cluster, copied_at)
@@ -124,9 +125,7 @@
         """Guards against a started instance that copies the tables of an earlier era."""
         async with GatewayCluster() as cluster:
             copied_at = cluster.store.version
-            for number in range(20):
-                cluster.configure(routes(f"r{number}"))
-                await asyncio.sleep(0.1)
+            await change_often(cluster)
             cluster.kill("g-sargans")
             cluster.nodes["g-chur"].platform.store.cut_off = True
             await restore(cluster, copied_at)
@@ -140,9 +139,7 @@
         """Guards against a second restore that is taken for the first one."""
         async with GatewayCluster() as cluster:
             copied_at = cluster.store.version
-            for number in range(20):
-                cluster.configure(routes(f"r{number}"))
-                await asyncio.sleep(0.1)
+            await change_often(cluster)
             await restore(cluster, copied_at, outage_s=0.0)
             cluster.configure(routes("between"))
             await asyncio.sleep(gap_s)
@@ -155,16 +152,9 @@
     async def test_change_after_a_restore_reaches_a_large_fleet(self, outage_s: float) -> None:
         """Guards against instances that copy tables of which no reader knows the new era."""
         async with GatewayCluster() as cluster:
-            for member in cluster.group.members.values():
-                member.connection_limit = 8 * LARGE_FLEET
-            for number in range(LARGE_FLEET - len(DATA_CENTRES)):
-                data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-                cluster.start(f"h-{data_centre}-{number}", data_centre)
-            await asyncio.sleep(2.0)
+            await cluster.grow(LARGE_FLEET)
             copied_at = cluster.store.version
-            for number in range(20):
-                cluster.configure(routes(f"r{number}"))
-                await asyncio.sleep(0.1)
+            await change_often(cluster)
             await restore(cluster, copied_at, outage_s=outage_s)
             cluster.configure(routes("added"))
             await asyncio.sleep(APPLY_S)
@@ -217,9 +207,7 @@
         """Guards against feeds that repeat a call of which the store has lost the history."""
         async with GatewayCluster() as cluster:
             copied_at = cluster.store.version
-            for number in range(20):
-                cluster.configure(routes(f"r{number}"))
-                await asyncio.sleep(0.2)
+            await change_often(cluster)
             calm_calls = cluster.store.calls
             await asyncio.sleep(10.0)
             calm_calls = cluster.store.calls - calm_calls
--- a/tests/gateway/test_watch_set.py
+++ b/tests/gateway/test_watch_set.py
@@ -92,20 +92,10 @@
 class TestLargeFleet:
     """Changes of primary, leases and registrations in a fleet of many instances."""
 
-    @staticmethod
-    async def grow(cluster: GatewayCluster) -> None:
-        """Starts more instances and raises the members' connection limits accordingly."""
-        for member in cluster.group.members.values():
-            member.connection_limit = 8 * FLEET_SIZE
-        for number in range(FLEET_SIZE - len(DATA_CENTRES)):
-            data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
-            cluster.start(f"h-{data_centre}-{number}", data_centre)
-        await asyncio.sleep(2.0)
-
     async def test_crashed_primary_is_replaced(self) -> None:
         """Guards against watch sets that are too small to agree on a lost primary."""
         async with GatewayCluster() as cluster:
-            await self.grow(cluster)
+            await cluster.grow(FLEET_SIZE)
             caller = await cluster.caller("h-sargans-8", "current")
             cluster.member("chur").running = False
             result, gap = await cluster.write_until_served(caller, "WRITE a x", within_s=5.0)
@@ -116,7 +106,7 @@
     async def test_lost_coordinator_is_replaced_by_one_instance(self) -> None:
         """Guards against a fleet without a coordinator."""
         async with GatewayCluster() as cluster:
-            await self.grow(cluster)
+            await cluster.grow(FLEET_SIZE)
             caller = await cluster.caller("h-sargans-8", "current")
             cluster.member("chur").running = False
             await cluster.write_until_served(caller, "WRITE a x", within_s=5.0)
@@ -134,7 +124,7 @@
     async def test_only_the_lost_instance_is_deregistered(self) -> None:
         """Guards against a coordinator that deregisters instances that it does not watch."""
         async with GatewayCluster() as cluster:
-            await self.grow(cluster)
+            await cluster.grow(FLEET_SIZE)
             caller = await cluster.caller("h-sargans-8", "current")
             cluster.member("chur").running = False
             await cluster.write_until_served(caller, "WRITE a x", within_s=5.0)
@@ -146,7 +136,7 @@
     async def test_quorum_leases_allow_writes_while_the_store_is_unavailable(self) -> None:
         """Guards against an outage of the store that stops the writes of a large fleet."""
         async with GatewayCluster() as cluster:
-            await self.grow(cluster)
+            await cluster.grow(FLEET_SIZE)
             caller = await cluster.caller("h-sargans-8", "current")
             await caller.query("WRITE a first")
             cluster.store.down = True
@@ -160,7 +150,7 @@
     async def test_fleet_without_failures_deregisters_no_instance(self) -> None:
         """Guards against a coordinator that deregisters instances that it does not ping."""
         async with GatewayCluster() as cluster:
-            await self.grow(cluster)
+            await cluster.grow(FLEET_SIZE)
             await asyncio.sleep(12.0)
             written = Counter(
                 row.key for row in cluster.store.history if row.table == CONTROL_TABLE
@@ -170,7 +160,7 @@
     async def test_few_instances_read_the_store(self) -> None:
         """Guards against store calls that grow with the fleet."""
         async with GatewayCluster() as cluster:
-            await self.grow(cluster)
+            await cluster.grow(FLEET_SIZE)
             before = cluster.store.calls
             await asyncio.sleep(10.0)
             feeds = 3 * FLEET_SIZE * 10.0 / FEED_WAIT_S
@@ -182,7 +172,7 @@
     async def test_store_calls_do_not_grow_with_the_fleet(self) -> None:
         """Guards against tables that every instance follows for itself."""
         async with GatewayCluster() as cluster:
-            await self.grow(cluster)
+            await cluster.grow(FLEET_SIZE)
             await asyncio.sleep(FEED_WAIT_S)  # calls that were under way have ended
             before = cluster.store.calls
             await asyncio.sleep(10.0)
@@ -193,7 +183,7 @@
     async def test_configuration_reaches_all_instances(self, fault: str) -> None:
         """Guards against instances that depend on one that does not know the newest tables."""
         async with GatewayCluster() as cluster:
-            await self.grow(cluster)
+            await cluster.grow(FLEET_SIZE)
             await asyncio.sleep(FEED_WAIT_S)
             for name in readers(cluster):
                 if fault == "killed":
@@ -212,7 +202,7 @@
     async def test_member_entries_that_expired_in_an_outage_stay_in_use_everywhere(self) -> None:
         """Guards against instances that copy a list in which running members are missing."""
         async with GatewayCluster() as cluster:
-            await self.grow(cluster)
+            await cluster.grow(FLEET_SIZE)
             await asyncio.sleep(FEED_WAIT_S)
             await cluster.stop_member_reports()
             cluster.store.down = True
@@ -227,7 +217,7 @@
     async def test_instances_share_quorum_leases(self) -> None:
         """Guards against members that every instance of a large fleet asks for reports."""
         async with GatewayCluster() as cluster:
-            await self.grow(cluster)
+            await cluster.grow(FLEET_SIZE)
             callers = [await cluster.caller(name, "current") for name in list(cluster.nodes)]
             cluster.store.down = True
             loop = asyncio.get_running_loop()
