Tell peers of a change of the configuration as soon as it is known

Callers could see: in a fleet of more than eight instances, a route that was already served through a relay was refused by that relay's own callers, or a statement ran under the older configuration at a relay that had run statements of the newer one.

Cause: instances that copy the tables learned of a change by two pings to a peer that has it, 0.14 to 0.4 s apart, and after 0.8 s more if the reader of their data centre was lost. Nothing ordered that against the statements that they run for instances which were faster.

Change: instances wait at the peers that they watch for changes of the operators' table, and copy it from the first that tells of one; from another data centre only 0.05 s later, so that a copy of the own one comes first. An instance of an earlier build does not know the message and is asked by pings.

The five new cases failed before: relay_knows_the_configuration (reader killed, reader without the store) and all_instances_apply_a_change (all three). All of tests/gateway passes.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -184,6 +184,7 @@
                 names.operators: self.view.operators,
                 names.members: self.view.members,
             },
+            prompt_table=names.operators,
             own_state=self._own_state,
             seeds=list(settings.seeds),
             address=settings.peer_address,
--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 
 from wigeonpoint.errors import StoreUnavailable
 from wigeonpoint.events import Event, log_event
@@ -68,6 +69,7 @@
         self._rows: dict[str, VersionedRow] = {}
         self._version = 0
         self._changed = 0
+        self._changed_event = asyncio.Event()
         self._loaded = False
         self._reachable = True
         self._recovered_at = float("-inf")
@@ -142,7 +144,7 @@
             return False
         if not stable:
             self._recovered_at = asyncio.get_running_loop().time()
-        self._changed = max(self._changed, changed)
+        self._note_change(changed)
         if self._loaded and read.version < self._version:
             # The other instance has applied single rows that its own feed has not reported yet.
             applied = [row for row in read.rows if self._apply_row(row)]
@@ -157,6 +159,22 @@
         if self._apply_row(row):
             self._on_change()
 
+    async def wait_for_change(self, known: int, *, timeout: float) -> int:
+        """Waits until this copy knows a later change than a known one.
+
+        Args:
+            known: Store version of the known change.
+            timeout: Seconds to wait.
+
+        Returns:
+            Store version of the last change that this copy knows.
+        """
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                while self._changed <= known:
+                    await self._changed_event.wait()
+        return self._changed
+
     async def poll(self) -> None:
         """Asks the store for changes without waiting for new ones.
 
@@ -238,7 +256,7 @@
         newer = {key: row for key, row in self._rows.items() if row.version > read.version}
         self._rows = {row.key: row for row in read.rows if not row.deleted} | newer
         self._version = read.version
-        self._changed = max([self._changed, *(row.version for row in read.rows)])
+        self._note_change(max((row.version for row in read.rows), default=0))
         self._loaded = True
         if new_era:
             self._store_era.note(self.era)
@@ -248,7 +266,7 @@
         """Notes the first copy since the start or since the store was restored."""
         self._era_read_at = version
         # Peers whose copy is of an earlier era are behind, even if the table is empty now.
-        self._changed = max(self._changed, make_version(era_of(version), 0))
+        self._note_change(make_version(era_of(version), 0))
         if self._loaded:
             self._recovered_at = asyncio.get_running_loop().time()
 
@@ -262,13 +280,21 @@
         known = self._rows.get(row.key)
         if known is not None and known.version >= row.version:
             return False
-        self._changed = max(self._changed, row.version)
+        self._note_change(row.version)
         if row.deleted:
             self._rows.pop(row.key, None)
         else:
             self._rows[row.key] = row
         return True
 
+    def _note_change(self, version: int) -> None:
+        """Records the version of a change, and wakes what waits for one."""
+        if version <= self._changed:
+            return
+        self._changed = version
+        self._changed_event.set()
+        self._changed_event = asyncio.Event()
+
     async def _handle_failure(self, error: StoreUnavailable) -> None:
         if self._reachable:
             log_event(Event.STORE_UNREACHABLE, table=self._table, reason=str(error))
--- a/src/wigeonpoint/process/gateway/control/_messages.py
+++ b/src/wigeonpoint/process/gateway/control/_messages.py
@@ -83,6 +83,36 @@
     eras: dict[str, int] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class AwaitChange:
+    """Asks a peer to answer as soon as it knows a later change of a table.
+
+    Attributes:
+        table: The table.
+        changed: Number of the version of the last change that the sender knows.
+        era: Era of that version.
+        wait_s: Longest time in seconds to wait for a later one.
+    """
+
+    table: str
+    changed: int
+    era: int
+    wait_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class LatestChange:
+    """Answers `AwaitChange`.
+
+    Attributes:
+        changed: Number of the version of the last change that the peer knows.
+        era: Era of that version.
+    """
+
+    changed: int
+    era: int
+
+
 @dataclass(frozen=True, slots=True)
 class FetchTable:
     """Asks a peer for its copy of a table."""
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -12,6 +12,7 @@
 from wigeonpoint.errors import WigeonpointError
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._table_feed import TableFeed
+from wigeonpoint.process.gateway.control._change_watch import ChangeWatch
 from wigeonpoint.process.gateway.control._control_state import ControlState
 from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S
 from wigeonpoint.process.gateway.control._messages import (
@@ -56,6 +57,7 @@
         control: Control state of this instance.
         transport: Sends messages.
         tables: Feeds of all tables by name.
+        prompt_table: Name of the table whose changes are copied without waiting for the next pings.
         own_state: Gives the state that is sent to peers.
         seeds: Addresses to ping while no instance is known.
         address: Address of this instance for peers.
@@ -73,6 +75,7 @@
         transport: PeerTransport,
         *,
         tables: Mapping[str, TableFeed],
+        prompt_table: str,
         own_state: OwnState,
         seeds: list[str],
         address: str,
@@ -85,9 +88,11 @@
         self._control = control
         self._transport = transport
         self._tables = TableExchange(transport, tables)
+        self._changes = ChangeWatch(transport, self._tables, prompt_table, tables[prompt_table])
         self._own_state = own_state
         self._seeds = [seed for seed in seeds if seed != address]
         self._address = address
+        self._data_centre = data_centre
         self._on_late = on_late
         self._on_regained = on_regained
         self._on_unreachable = on_unreachable
@@ -107,6 +112,7 @@
         """Registers the handlers of pings and of requests for table copies."""
         dispatcher.register(GatewayPing, self._answer_ping)
         self._tables.register(dispatcher)
+        self._changes.register(dispatcher)
 
     def start(self) -> None:
         """Starts pinging."""
@@ -116,6 +122,7 @@
         """Stops pinging."""
         if self._update_task is not None:
             self._update_task.cancel()
+        self._changes.close()
         for task in self._pingers.values():
             task.cancel()
 
@@ -260,6 +267,11 @@
         intervals.pop(self._address, None)
         return intervals
 
+    def _watched_addresses(self) -> dict[str, bool]:
+        """Whether each watched peer is in the data centre of this instance, by address."""
+        peers = [self._control.peers[name] for name in self.watched & self._control.peers.keys()]
+        return {peer.address: peer.data_centre == self._data_centre for peer in peers}
+
     async def _update_pingers(self) -> None:
         while True:
             intervals = self._intervals = self._ping_intervals()
@@ -269,6 +281,7 @@
                 self._transport.disconnect(address)
             for address in intervals.keys() - self._pingers.keys():
                 self._pingers[address] = asyncio.create_task(self._ping_peer(address))
+            self._changes.update(self._watched_addresses() if self._large_fleet else {})
             await asyncio.sleep(self._watch_interval_s)
 
     async def _ping_peer(self, address: str) -> None:
--- a/src/wigeonpoint/process/gateway/control/_table_exchange.py
+++ b/src/wigeonpoint/process/gateway/control/_table_exchange.py
@@ -63,9 +63,15 @@
                 continue
             behind = self._behind[address, table] = self._behind.get((address, table), 0) + 1
             if table == CONTROL_TABLE or behind >= BEHIND_PING_LIMIT or not feed.loaded:
-                await self._fetch(address, table, feed)
+                await self.fetch(address, table)
 
-    async def _fetch(self, address: str, table: str, feed: TableFeed) -> None:
+    async def fetch(self, address: str, table: str) -> None:
+        """Copies a table from a peer, if the peer knows a later change of it.
+
+        Raises:
+            WigeonpointError: The peer did not answer.
+        """
+        feed = self._tables[table]
         copy = await self._transport.request(
             address, FetchTable(table), TableCopy, timeout=FETCH_TIMEOUT_S
         )
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -7,10 +7,16 @@
 import pytest
 
 from tests.gateway._cluster import ROUTES, SERVICE, GatewayCluster
+from tests.gateway._relayed_fleet import LIMIT, RelayedFleet
+from wigeonpoint.process.gateway._member_sharing import relay_count
+from wigeonpoint.process.gateway._table_feed import FEED_WAIT_S
+from wigeonpoint.process.gateway.control._watch_set import store_reader
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 APPLY_S = 3.0  # an acknowledged change is active everywhere within this time
+REVERT_S = 0.25  # after a member has seen the effect of a version, no older one is used
+CHECK_INTERVAL_S = 0.005
 
 
 class TestChanges:
@@ -42,3 +48,62 @@
                 view = node.gateway.view
                 for feed in (node.gateway.control.feed, view.operators, view.members):
                     assert feed.reachable
+
+
+class TestRelayedFleet:
+    """Changes in a fleet whose instances copy the configuration from one another."""
+
+    @staticmethod
+    def lose_reader(fleet: RelayedFleet, relay: str, fault: str) -> None:
+        """Takes from a relay the instance that follows the store for its data centre."""
+        reader = store_reader(relay, fleet.nodes[relay].gateway.control.instances)
+        if fault == "reader killed":
+            fleet.kill(reader)
+        elif fault == "reader without the store":
+            fleet.nodes[reader].platform.store.cut_off = True
+
+    @staticmethod
+    async def accepts(fleet: RelayedFleet, name: str, database: str) -> bool:
+        """Whether an instance opens a session to a database."""
+        return (await fleet.connect(name, database)).rejected is None
+
+    @pytest.mark.parametrize("fault", ["none", "reader killed", "reader without the store"])
+    async def test_relay_knows_the_configuration_of_the_statements_that_it_runs(
+        self, fault: str
+    ) -> None:
+        """Guards against a relay that refuses callers by a version older than one it ran under."""
+        async with RelayedFleet() as fleet:
+            await asyncio.sleep(FEED_WAIT_S)
+            asker, relays = fleet.asker, fleet.relays()[: relay_count(LIMIT)]
+            self.lose_reader(fleet, relays[0], fault)
+            for number in range(5):
+                database = f"added{number}"
+                fleet.configure({**ROUTES, database: (SERVICE, "CURRENT")})
+                while not await self.accepts(fleet, asker, database):
+                    await asyncio.sleep(CHECK_INTERVAL_S)
+                caller = await fleet.caller(asker, database)
+                assert (await caller.query("WRITE a x")).served
+                await asyncio.sleep(REVERT_S)
+                for relay in fleet.nodes.keys() & set(relays):
+                    assert await self.accepts(fleet, relay, database)
+                await asyncio.sleep(1.0 + 0.03 * number)  # varies the moment between two pings
+
+    @pytest.mark.parametrize("fault", ["none", "reader killed", "reader without the store"])
+    async def test_all_instances_apply_a_change_at_nearly_the_same_time(self, fault: str) -> None:
+        """Guards against statements under an older version at a relay that has the newer one."""
+        async with RelayedFleet() as fleet:
+            await asyncio.sleep(FEED_WAIT_S)
+            self.lose_reader(fleet, fleet.relays()[0], fault)
+            for number in range(5):
+                database = f"added{number}"
+                fleet.configure({**ROUTES, database: (SERVICE, "CURRENT")})
+                while not any(self.has_route(fleet, name, database) for name in fleet.nodes):
+                    await asyncio.sleep(CHECK_INTERVAL_S)
+                await asyncio.sleep(REVERT_S)
+                assert all(self.has_route(fleet, name, database) for name in fleet.nodes)
+                await asyncio.sleep(1.0 + 0.03 * number)  # varies the moment between two pings
+
+    @staticmethod
+    def has_route(fleet: RelayedFleet, name: str, database: str) -> bool:
+        """Whether a route is active on an instance."""
+        return database in fleet.nodes[name].gateway.view.catalogue().routes
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -122,6 +122,9 @@
         "What was written since the copy is gone and versions are given out again; the tables are "
         "read anew."
     ),
+    "CHANGE_WATCH_FAILED": (
+        "Changes reach this instance by other peers, by pings or by its own feed meanwhile."
+    ),
     "SETTINGS_READ": "The settings file was read after SIGHUP and is valid.",
     "SETTINGS_REFUSED": ("The changed settings file is invalid; the process keeps the old values."),
     "TABLE_COPIED": "This instance's feed is behind; another instance had newer rows.",
