Ignore rows from before the version up to which a table's copy is complete

Callers could see: a change of primary that waits, until leases have expired, for an instance that was deregistered.

Cause: a copy keeps no deleted rows, so a row that a peer had not yet seen deleted, a late answer of the feed or a late announcement counted as a new row and came back until the next read of the table.

Change: a row that is unknown here and not newer than the copy's version is ignored.

Both tests of TestCopiesOfPeers failed before; tests/gateway and tests/userplatform pass.

--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -271,14 +271,15 @@
             self._recovered_at = asyncio.get_running_loop().time()
 
     def _apply_changes(self, changes: RowsRead) -> None:
-        self._version = max(self._version, changes.version)
         applied = [row for row in changes.rows if self._apply_row(row)]
+        self._version = max(self._version, changes.version)
         if applied:
             self._on_change()
 
     def _apply_row(self, row: VersionedRow) -> bool:
         known = self._rows.get(row.key)
-        if known is not None and known.version >= row.version:
+        # The copy is complete up to its version, so an unknown row from before it was deleted.
+        if row.version <= (self._version if known is None else known.version):
             return False
         self._note_change(row.version)
         if row.deleted:
--- a/tests/gateway/test_table_feed.py
+++ b/tests/gateway/test_table_feed.py
@@ -56,3 +56,22 @@
         await asyncio.sleep(5.0)
         feed.close()
         assert store.calls <= 5.0 / 0.1
+
+
+class TestCopiesOfPeers:
+    """Copies of other instances, which may be behind in some rows."""
+
+    async def test_deleted_row_does_not_return_with_the_copy_of_a_peer(self) -> None:
+        """Guards against a registration that a peer has not yet seen deleted."""
+        feed = TableFeed(LaggingStore(0), "t", lambda: None)
+        feed.adopt(RowsRead([VersionedRow("t", "kept", b"", 3)], 12), 12)
+        behind = [VersionedRow("t", "deleted", b"", 5), VersionedRow("t", "added", b"", 15)]
+        feed.adopt(RowsRead(behind, 10), 15)
+        assert feed.rows.keys() == {"kept", "added"}
+
+    async def test_single_row_of_before_a_deletion_is_ignored(self) -> None:
+        """Guards against a late announcement that brings a deleted row back."""
+        feed = TableFeed(LaggingStore(0), "t", lambda: None)
+        feed.adopt(RowsRead([], 12), 12)
+        feed.apply(VersionedRow("t", "deleted", b"", 5))
+        assert not feed.rows
