Copy a table of a later era after a single row of it was announced

Callers could see: an instance without the store that goes on with the registrations and records of before a restore, although its peers have the table of after it.

Cause: a record that a claimant announces is applied ahead of the feed, with its version of the later era. From then on the instance compared its peers' latest change with that of the one row and found that it lacked nothing, while its table was still of the earlier era.

Change: an instance also lacks a change if its copy as a whole is of an earlier era.

test_table_of_a_later_era_is_fetched_after_a_row_of_it_was_announced failed before (no request); all of tests/gateway and tests/userplatform passes.

--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -129,6 +129,15 @@
         if self._task is not None:
             self._task.cancel()
 
+    def lacks(self, changed: int) -> bool:
+        """Whether the copy lacks a change that another instance knows, or all of its era.
+
+        Args:
+            changed: Store version of the change.
+        """
+        # A single row of a later era may have been announced before the table was read in it.
+        return changed > self._changed or era_of(changed) > self.era
+
     def adopt(self, read: RowsRead, changed: int, *, stable: bool = True) -> bool:
         """Adopts the copy of another instance if that one knows a later change.
 
@@ -140,7 +149,7 @@
         Returns:
             Whether it was adopted.
         """
-        if self._loaded and changed <= self._changed:
+        if self._loaded and not self.lacks(changed):
             return False
         if not stable:
             self._recovered_at = asyncio.get_running_loop().time()
--- a/src/wigeonpoint/process/gateway/control/_change_watch.py
+++ b/src/wigeonpoint/process/gateway/control/_change_watch.py
@@ -71,7 +71,7 @@
         while True:
             try:
                 changed = await self._await_change(address)
-                if changed > self._feed.changed:
+                if self._feed.lacks(changed):
                     await asyncio.sleep(delay_s)
                     await self._fetch(address, changed)
                 answers = True
@@ -100,7 +100,7 @@
     async def _fetch(self, address: str, changed: int) -> None:
         """Copies the table from a peer unless another copy has brought the change meanwhile."""
         async with self._fetching:
-            if changed > self._feed.changed:
+            if self._feed.lacks(changed):
                 await self._exchange.fetch(address, self._table)
 
     async def _answer_await(self, request: AwaitChange) -> LatestChange:
--- a/src/wigeonpoint/process/gateway/control/_table_exchange.py
+++ b/src/wigeonpoint/process/gateway/control/_table_exchange.py
@@ -58,7 +58,7 @@
         for table, feed in self._tables.items():
             number = state.changed.get(table, 0)
             peer_changed = make_version(state.eras.get(table, feed.era), number)
-            if peer_changed <= feed.changed and (feed.loaded or not number):
+            if not feed.lacks(peer_changed) and (feed.loaded or not number):
                 self._behind.pop((address, table), None)
                 continue
             behind = self._behind[address, table] = self._behind.get((address, table), 0) + 1
--- a/tests/gateway/test_table_exchange.py
+++ b/tests/gateway/test_table_exchange.py
@@ -11,7 +11,7 @@
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._messages import GatewayState, TableCopy, TableRow
 from wigeonpoint.process.gateway.control._table_exchange import BEHIND_PING_LIMIT, TableExchange
-from wigeonpoint.services import RowsRead, era_of, make_version, number_of
+from wigeonpoint.services import RowsRead, VersionedRow, era_of, make_version, number_of
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
@@ -34,10 +34,14 @@
     """Which copies of peers are fetched, and which versions they have here."""
 
     @staticmethod
-    async def hear(copy: TableCopy, state: GatewayState) -> tuple[TableFeed, int]:
+    async def hear(
+        copy: TableCopy, state: GatewayState, *, announced: VersionedRow | None = None
+    ) -> tuple[TableFeed, int]:
         """Hears a peer's state often enough to fetch its copy; gives the feed and the requests."""
         feed = TableFeed(LaggingStore(0), "t", lambda: None)
         feed.adopt(RowsRead([], make_version(1, 10)), make_version(1, 10))
+        if announced is not None:
+            feed.apply(announced)
         peer = PeerWithCopy(copy)
         exchange = TableExchange(peer, {"t": feed})
         for _ in range(BEHIND_PING_LIMIT):
@@ -51,6 +55,18 @@
         assert requests == 1
         assert (era_of(feed.version), number_of(feed.version)) == (2, 4)
 
+    async def test_table_of_a_later_era_is_fetched_after_a_row_of_it_was_announced(self) -> None:
+        """Guards against an instance that knows one row written after a restore and no other."""
+        rows = [TableRow("a", "", 3, 2), TableRow("b", "", 4, 2)]
+        feed, requests = await self.hear(
+            TableCopy(rows, 4, 4, era=2, changed_era=2),
+            GatewayState("p", {"t": 4}, None, eras={"t": 2}),
+            announced=VersionedRow("t", "b", b"", make_version(2, 4)),
+        )
+        assert requests == 1
+        assert feed.era == 2
+        assert feed.rows.keys() == {"a", "b"}
+
     async def test_earlier_era_is_not_fetched(self) -> None:
         """Guards against an instance that goes back to the tables of before a restore."""
         copy = TableCopy([TableRow("a", "", 99, 0)], 99, 99, era=0, changed_era=0)
