Have members confirm primaries whose last change a restored store may have lost

Callers could see: reads of an older log (STALE) from a replica, after all instances were lost around a restore of the store that took back a change of primary. If the copy held a record of an earlier change, the replica stayed the primary for good and all writes were refused.

Cause: an instance that starts takes the store's records, or the roles in the members' rows, for the newest ones; both go back with the store. Instances that lived through the restore write the records again, but here none is left.

Change: in an era in which an instance has held no lease since before the restore, and for which a group has no record of that era, it uses a primary only after a majority of the group's members has confirmed it once. The coordinator replaces a primary that the members contradict, and prefers the member that leads already, which the promotion call then leaves as it is.

test_primary_of_an_older_record_serves_no_reads_after_all_instances_are_lost and test_primary_of_the_copys_member_rows_serves_no_reads failed before. A primary that was not replaced serves within a second of the start and is not replaced; an instance that missed the change serves no stale reads (both held before too). Nothing changes while the store was never restored.

--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -78,6 +78,8 @@
         self._lease_valid_since: float | None = None
         self._leaderships: dict[str, Leadership] = {}
         self._lost_leaderships: dict[str, Leadership] = {}
+        self._seen_era = 0
+        self._trusted_era = 0  # in which the store has lost no change that is unknown here
         self._fleet = RegisteredFleet(name)
         self._unlisted_timer: asyncio.TimerHandle | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -183,11 +185,35 @@
         """Whether a statement may be sent to a member as the primary of a group."""
         if not self.registered or self._group(group).primary_id != member_id:
             return False
+        if self.awaits_confirmation(group, member_id):
+            self._quorum_leases.request(group)
+            return False
         handover = self._handovers.get(group)
         if handover is not None:
             return self.lease_valid and handover.usable
         return self.lease_valid or self._quorum_leases.holds(group, member_id)
 
+    def awaits_confirmation(self, group: str, member_id: str) -> bool:
+        """Whether the members have to confirm a primary before its first use.
+
+        A store that was restored may have lost the newest change of primary. An instance that held
+        a lease through the restore knows that change; one that has started since knows only what
+        the store holds.
+        """
+        if self._trusted_era == self.era:
+            return False
+        leadership = self._leaderships.get(group)
+        if leadership is not None and leadership.era == self.era:
+            return False
+        return not self._quorum_leases.has_confirmed(group, member_id)
+
+    def is_contradicted(self, group: str, member_id: str) -> bool:
+        """Whether a primary that has to be confirmed is not the primary by its members' reports."""
+        if not self.awaits_confirmation(group, member_id):
+            return False
+        self._quorum_leases.request(group)
+        return self._quorum_leases.has_contradicted(group, member_id)
+
     def leads(self, group: str, member_id: str) -> bool:
         """Whether a member is a usable primary of a group that is not being replaced."""
         return group not in self._handovers and self.may_send(group, member_id)
@@ -287,6 +313,10 @@
         )
 
     def _apply_rows(self) -> None:
+        if self.era > self._seen_era:
+            self._seen_era = self.era
+            if self.lease_valid:  # since before the restore
+                self._trusted_era = self.era
         listed = self.records.instances()
         if self._registration.leaving:
             listed.pop(self._name, None)
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -170,6 +170,7 @@
             leaving_s=self._leaving_s(pool),
             unreachable_s=self._control.unreachable_s(pool),
             replicas=len(replicas),
+            contradicted=self._control.is_contradicted(group.name, primary_id or ""),
         )
 
     def _leaving_s(self, pool: MemberPool | None) -> float | None:
--- a/src/wigeonpoint/process/gateway/control/_policy.py
+++ b/src/wigeonpoint/process/gateway/control/_policy.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
+from wigeonpoint.backend import MemberRole
 from wigeonpoint.connection.session import MemberReport
 
 # Long enough for two failed attempts to connect, so that one lost packet causes no promotion.
@@ -24,6 +25,7 @@
     LEAVING = auto()
     GONE = auto()
     UNREACHABLE = auto()
+    NOT_PRIMARY = auto()  # its record is older than the last change of primary
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,12 +37,14 @@
         leaving_s: Seconds since it announced its shutdown, None if it has not.
         unreachable_s: Seconds for which it has not been reached, 0 while it is reachable.
         replicas: Number of members that could be promoted.
+        contradicted: Whether the members report that another one is the primary.
     """
 
     listed: bool
     leaving_s: float | None
     unreachable_s: float
     replicas: int
+    contradicted: bool = False
 
 
 def choose_coordinator(*, own: str, current: str | None, reachable: Collection[str]) -> str:
@@ -81,6 +85,8 @@
         return None  # too few instances answer; the others may still reach the primary
     if not view.listed:
         return ReplacementReason.GONE
+    if view.contradicted:
+        return ReplacementReason.NOT_PRIMARY
     if view.leaving_s is not None and (
         voters == 1 + watched or view.leaving_s >= leaving_primary_wait_s
     ):
@@ -96,7 +102,7 @@
 def choose_candidate(
     reports: Mapping[str, MemberReport | None], *, leaving: Collection[str]
 ) -> str | None:
-    """Chooses the member to promote: the longest log, then the shortest lag.
+    """Chooses the member to promote: the longest log, a primary first, then the shortest lag.
 
     Args:
         reports: Reports of the replicas that answered, by id; None for one too busy to report.
@@ -110,8 +116,9 @@
     return max(eligible, key=lambda member: (*_log_progress(eligible[member]), member))
 
 
-def _log_progress(report: MemberReport) -> tuple[int, int, float]:
+def _log_progress(report: MemberReport) -> tuple[int, int, bool, float]:
+    primary = report.role is MemberRole.PRIMARY
     received = report.received
     if received is None:
-        return 0, 0, -report.lag_s
-    return received.term, received.position, -report.lag_s
+        return 0, 0, primary, -report.lag_s
+    return received.term, received.position, primary, -report.lag_s
--- a/src/wigeonpoint/process/gateway/control/_quorum_leases.py
+++ b/src/wigeonpoint/process/gateway/control/_quorum_leases.py
@@ -14,6 +14,7 @@
 import random
 from collections.abc import Callable, Collection, Mapping
 
+from wigeonpoint.backend import MemberRole
 from wigeonpoint.connection.session import MemberReport
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._suspension import Clock
@@ -70,7 +71,7 @@
         members: Ids of all members.
     """
     own = reports.get(primary)
-    if own is None or own.role.value != "primary":
+    if own is None or own.role is not MemberRole.PRIMARY:
         return False
     agreeing = [
         member
@@ -80,6 +81,22 @@
     return len(agreeing) >= majority(len(members))
 
 
+def quorum_contradicts(primary: str, reports: Mapping[str, MemberReport | None]) -> bool:
+    """Whether the members report that another member than the expected one is the primary.
+
+    Args:
+        primary: Id of the expected primary.
+        reports: Reports of the members that answered, by id.
+    """
+    own = reports.get(primary)
+    if own is None:
+        return False
+    return own.role is not MemberRole.PRIMARY or any(
+        report is not None and report.role is MemberRole.PRIMARY and report.term > own.term
+        for report in reports.values()
+    )
+
+
 class QuorumLeases:
     """Quorum leases of one instance; asks members for them if its lease is not renewed in time.
 
@@ -99,6 +116,9 @@
         self._renew_at: dict[str, float] = {}
         self._leases: dict[str, tuple[str, float]] = {}
         self._requests: dict[str, asyncio.Task[None]] = {}
+        self._confirmed: dict[str, str] = {}  # the last confirmed primary of each group
+        self._contradicted: dict[str, str] = {}
+        self._request_again_at: dict[str, float] = {}
         self._task: asyncio.Task[None] | None = None
         self.asked = 0
 
@@ -107,6 +127,23 @@
         primary, confirmed_at = self._leases.get(group, ("", float("-inf")))
         return primary == member_id and self._clock() - confirmed_at < LEASE_DURATION_S
 
+    def has_confirmed(self, group: str, member_id: str) -> bool:
+        """Whether a member is the last primary of a group that its members have confirmed."""
+        return self._confirmed.get(group) == member_id
+
+    def has_contradicted(self, group: str, member_id: str) -> bool:
+        """Whether the members of a group reported last that a member is not its primary."""
+        return self._contradicted.get(group) == member_id
+
+    def request(self, name: str) -> None:
+        """Asks the members of a group now, unless they were asked a short time ago."""
+        group = self._groups().get(name)
+        now = self._clock()
+        if group is None or self._requesting(name) or now < self._request_again_at.get(name, now):
+            return
+        self._request_again_at[name] = now + CHECK_INTERVAL_S
+        self._requests[name] = asyncio.create_task(self._request_reports(name, group))
+
     def shared(self) -> dict[str, ConfirmedPrimary]:
         """Confirmed primaries with a valid quorum lease, by group, for peers to adopt."""
         now = self._clock()
@@ -152,9 +189,12 @@
                 if self._due(name, group):
                     self._requests[name] = asyncio.create_task(self._request_reports(name, group))
 
-    def _due(self, name: str, group: Group) -> bool:
+    def _requesting(self, name: str) -> bool:
         running = self._requests.get(name)
-        if running is not None and not running.done():
+        return running is not None and not running.done()
+
+    def _due(self, name: str, group: Group) -> bool:
+        if self._requesting(name):
             return False
         now = asyncio.get_running_loop().time()
         if now - group.primary_requested_at > PRIMARY_IN_USE_S or group.primary is None:
@@ -169,11 +209,17 @@
         records = [pool.record for pool in group.pools]
         self.asked += len(records)
         reports = await self._members.reports(records)
-        if quorum_confirms(primary.record.id, reports, [record.id for record in records]):
-            self._record_lease(name, primary.record.id, asked_at)
+        primary_id = primary.record.id
+        if quorum_confirms(primary_id, reports, [record.id for record in records]):
+            self._record_lease(name, primary_id, asked_at)
+            group.notify()
+        elif quorum_contradicts(primary_id, reports):
+            self._contradicted[name] = primary_id
 
     def _record_lease(self, group: str, primary: str, confirmed_at: float) -> None:
         self._leases[group] = (primary, confirmed_at)
+        self._confirmed[group] = primary
+        self._contradicted.pop(group, None)
         # A random time, so that the first instance that asks again spares the others the calls.
         self._renew_at[group] = confirmed_at + RENEW_AFTER_S * self._random.uniform(
             1.0, RENEWAL_SPREAD
--- a/tests/gateway/test_restored_primaries.py
+++ b/tests/gateway/test_restored_primaries.py
@@ -9,6 +9,7 @@
 from tests.gateway._cluster import (
     DATA_CENTRES,
     SERVICE,
+    Caller,
     GatewayCluster,
     assert_logged_once,
     write_values,
@@ -45,6 +46,103 @@
             assert gateway.view.group(SERVICE).primary_id == promoted
             assert (await caller.query("WRITE a y")).served
 
+    async def test_primary_of_an_older_record_serves_no_reads_after_all_instances_are_lost(
+        self,
+    ) -> None:
+        """Guards against stale reads at a replaced primary that only the store's copy names."""
+        async with GatewayCluster() as cluster:
+            caller = await cluster.caller("g-stgallen", "current")
+            await self.replace_primary(cluster, caller)
+            copied_at = cluster.store.version
+            named_by_copy = cluster.group.leader()
+            await self.replace_primary(cluster, caller)
+            assert cluster.group.leader() is not named_by_copy
+            named_by_copy.lag_s = 5.0
+            assert (await caller.query("WRITE a newest")).served
+            await self.restart_all_through_a_restore(cluster, copied_at)
+            await asyncio.sleep(1.0)
+            for _ in range(20):
+                reader = await cluster.caller("g-chur", "current")
+                result = await reader.query("READ a")
+                assert not result.served or result.reply.rows == ["newest"]
+                await asyncio.sleep(0.2)
+            result, _ = await cluster.write_until_served(reader, "WRITE a later", within_s=8.0)
+            assert result.served
+
+    async def test_primary_of_the_copys_member_rows_serves_no_reads(self) -> None:
+        """Guards against stale reads at a member that leads only by a row from before its loss."""
+        async with GatewayCluster() as cluster:
+            caller = await cluster.caller("g-stgallen", "current")
+            copied_at = cluster.store.version
+            named_by_copy = cluster.group.leader()
+            await self.replace_primary(cluster, caller)
+            named_by_copy.lag_s = 5.0
+            assert (await caller.query("WRITE a newest")).served
+            await cluster.stop_member_reports()
+            await self.restart_all_through_a_restore(cluster, copied_at)
+            for _ in range(20):
+                reader = await cluster.caller("g-chur", "current")
+                result = await reader.query("READ a")
+                assert not result.served or result.reply.rows == ["newest"]
+                await asyncio.sleep(0.2)
+
+    async def test_primary_that_was_not_replaced_serves_soon_after_all_instances_are_lost(
+        self,
+    ) -> None:
+        """Guards against confirmations that delay the first statements, or replace a primary."""
+        async with GatewayCluster() as cluster:
+            caller = await cluster.caller("g-stgallen", "current")
+            await self.replace_primary(cluster, caller)
+            calls = len(cluster.promotion_calls)
+            await self.restart_all_through_a_restore(cluster, cluster.store.version)
+            reader = await cluster.caller("g-chur", "current")
+            result, seconds = await cluster.write_until_served(reader, "WRITE a y", within_s=3.0)
+            assert result.served
+            assert seconds <= 1.0
+            await asyncio.sleep(3.0)
+            assert len(cluster.promotion_calls) == calls
+
+    async def test_instance_that_missed_a_lost_change_serves_no_stale_reads(self) -> None:
+        """Guards against an instance that returns and finds no trace of a change in the store."""
+        async with GatewayCluster() as cluster:
+            caller = await cluster.caller("g-stgallen", "current")
+            copied_at = cluster.store.version
+            named_by_copy = cluster.group.leader()
+            cluster.isolate("sargans")
+            await asyncio.sleep(1.0)
+            await self.replace_primary(cluster, caller)
+            named_by_copy.lag_s = 5.0
+            assert (await caller.query("WRITE a newest")).served
+            await restore(cluster, copied_at, outage_s=0.0)
+            reader = await cluster.caller("g-sargans", "current")
+            cluster.network.heal()
+            for _ in range(100):
+                result = await reader.query("READ a")
+                assert not result.served or result.reply.rows == ["newest"]
+                await asyncio.sleep(0.02)
+
+    @staticmethod
+    async def restart_all_through_a_restore(cluster: GatewayCluster, copied_at: int) -> None:
+        """Kills all instances, restores the store, and starts the instances again."""
+        data_centres = {name: node.data_centre for name, node in cluster.nodes.items()}
+        cluster.store.down = True
+        for name in data_centres:
+            cluster.kill(name)
+        await restore(cluster, copied_at, outage_s=0.5)
+        for name, data_centre in data_centres.items():
+            cluster.start(name, data_centre)
+
+    @staticmethod
+    async def replace_primary(cluster: GatewayCluster, caller: Caller) -> None:
+        """Has the primary crash, and return as a replica once another one leads."""
+        former = cluster.group.leader()
+        former.running = False
+        result, _ = await cluster.write_until_served(caller, "WRITE a x", within_s=8.0)
+        assert result.served
+        former.running = True
+        cluster.group.demote(former, cluster.group.term)
+        await asyncio.sleep(1.0)
+
     async def test_fencing_tokens_ascend_through_a_restore(self) -> None:
         """Guards against two coordinators that promote with the same token."""
         async with GatewayCluster() as cluster:
