Have a relay run no statement under a configuration that it does not have

Cause: a statement did not carry the version by which its sender had routed it, so a relay could not tell that it was behind. Class of fault: work is passed on without the state that it depends on.

Change: statements to relays carry the store version of the sender's configuration. Event 220 tells of a copy that failed. Instances of earlier builds send no version and are served as before.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -94,6 +94,7 @@
     ROW_UNREADABLE = (214, logging.WARNING, "a row of the store cannot be read and is ignored")
     MEMBERS_CHANGED = (215, logging.INFO, "member removed from the directory")
     STORE_RESTORED = (218, logging.WARNING, "the platform's store was restored from an older copy")
+    CATCH_UP_FAILED = (220, logging.INFO, "a configuration newer than here could not be copied")
     CHANGE_WATCH_FAILED = (219, logging.INFO, "a peer no longer tells of changes of a table")
 
     def __init__(self, number: int, level: int, sentence: str) -> None:
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -105,6 +105,7 @@
             lambda: self.view.groups,
             self.control,
             lambda: self.view.catalogue().transaction_idle_s,
+            lambda sender, changed: self.peers.catch_up(sender, changed),
         )
         self.relay.register(self._dispatcher)
         self.router = StatementRouter(self.control)
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -70,6 +70,7 @@
             sharing,
             links,
             lambda service: self._active_service(service).connection_limit,
+            lambda: self.operators.changed,
         )
         self._active = ActiveCatalogue()
         self._directory = MemberDirectory()
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -154,6 +154,19 @@
         )
         return coordinator == self._control.name
 
+    async def catch_up(self, name: str, changed: int) -> bool:
+        """Copies the prompt table from a peer that knows a later change of it.
+
+        Args:
+            name: Name of the peer.
+            changed: Store version of the change.
+
+        Returns:
+            Whether the change is known here now.
+        """
+        peer = self._control.peers.get(name)
+        return await self._changes.catch_up(peer.address if peer else None, changed)
+
     def state(self, name: str) -> GatewayState | None:
         """The last state of a peer, None if it has not answered for `STATE_MAX_AGE_S`."""
         return self._state(name, STATE_MAX_AGE_S)
--- a/src/wigeonpoint/process/gateway/relay/_connection.py
+++ b/src/wigeonpoint/process/gateway/relay/_connection.py
@@ -58,6 +58,7 @@
         record: The member.
         links: Links to relays.
         relays: Returns the addresses of the relays to use, the preferred one first.
+        configuration: Returns the store version of the configuration that this instance has.
         verified: Whether a relay has just told that it reaches the member.
     """
 
@@ -67,6 +68,7 @@
         record: MemberRecord,
         links: RelayLinks,
         relays: Callable[[], list[str]],
+        configuration: Callable[[], int],
         *,
         verified: bool,
     ) -> None:
@@ -74,6 +76,7 @@
         self._record = record
         self._links = links
         self._get_relays = relays
+        self._get_configuration = configuration
         self._number = next(_connection_numbers)
         self._terms = _DEFAULT_TERMS
         self._values: dict[str, str] = {}
@@ -186,6 +189,7 @@
             caller=self._terms.caller,
             session=self._terms.session,
             remaining_s=round(self._remaining_s, 3),
+            configuration=self._get_configuration(),
         )
 
     async def _ask_any(self, message: RelayStatement | RelayBegin) -> tuple[MemberAnswer, str]:
--- a/src/wigeonpoint/process/gateway/relay/_connector.py
+++ b/src/wigeonpoint/process/gateway/relay/_connector.py
@@ -45,6 +45,7 @@
         sharing: Decides which members lie behind relays.
         links: Links to relays.
         limit: Returns the connection limit of a service's members.
+        configuration: Returns the store version of the configuration that this instance has.
     """
 
     def __init__(
@@ -54,12 +55,14 @@
         sharing: MemberSharing,
         links: RelayLinks,
         limit: Callable[[str], int],
+        configuration: Callable[[], int],
     ) -> None:
         self._own = own
         self._direct = direct
         self._sharing = sharing
         self._links = links
         self._limit = limit
+        self._get_configuration = configuration
         self._checks: set[asyncio.Task[_Verdict]] = set()
 
     async def connect(
@@ -87,6 +90,7 @@
             record,
             self._links,
             lambda: self._usable_relays(record),
+            self._get_configuration,
             verified=verify,
         )
 
--- a/src/wigeonpoint/process/gateway/relay/_messages.py
+++ b/src/wigeonpoint/process/gateway/relay/_messages.py
@@ -65,6 +65,8 @@
         caller: Key for fair queueing within the rank.
         session: Number of the caller's session at the sender.
         remaining_s: Seconds that the caller still waits.
+        configuration: Store version of the configuration by which the sender routes the statement;
+            0 from an instance of an earlier build.
     """
 
     sender: str
@@ -76,6 +78,7 @@
     caller: str
     session: int
     remaining_s: float
+    configuration: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -37,6 +37,7 @@
         members: Database members by address.
         data_centres: Data centre of each address.
         cuts: Pairs of data centres that cannot reach each other.
+        cut_peers: Pairs of instances' addresses that cannot reach each other.
         down: Addresses that do not answer.
         lag: Seconds that replication messages to a member take longer.
         on_message: Called with stage (`sent`, `answered`), address and peer message; it may wait,
@@ -49,6 +50,7 @@
     members: dict[str, DatabaseMemberStandIn] = field(default_factory=dict)
     data_centres: dict[str, str] = field(default_factory=dict)
     cuts: set[frozenset[str]] = field(default_factory=set)
+    cut_peers: set[frozenset[str]] = field(default_factory=set)
     down: set[str] = field(default_factory=set)
     lag: dict[str, float] = field(default_factory=dict)
     on_message: Hook | None = None
@@ -154,7 +156,7 @@
         """Delivers a message; if the answer cannot return, the outcome is unknown."""
         own = self._network.data_centres[self._address]
         if address != self._address:
-            if not self._network.reachable(own, address):
+            if not self._reachable(address):
                 await asyncio.sleep(min(timeout, 1.0))
                 raise NotRun(ResultCode.PEER_UNREACHABLE, f"cannot connect to {address}")
             await asyncio.sleep(DELAY_S)
@@ -176,6 +178,11 @@
             await self._network.wait_one_way(own, address, timeout)
         return reply
 
+    def _reachable(self, address: str) -> bool:
+        own = self._network.data_centres[self._address]
+        cut = frozenset((self._address, address)) in self._network.cut_peers
+        return not cut and self._network.reachable(own, address)
+
     def disconnect(self, address: str) -> None:
         """Ends the open requests to an address."""
         for task in self._open.get(address, ()):
--- a/tests/gateway/_relayed_fleet.py
+++ b/tests/gateway/_relayed_fleet.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tests.gateway._cluster import DATA_CENTRES, Caller, GatewayCluster
+from wigeonpoint.process.gateway.relay import RelayStatement
 
 FLEET_SIZE = 24
 LIMIT = 16  # connections that a member accepts
@@ -50,6 +51,12 @@
         """Name of the relay at which a transaction is open."""
         return next(name for name, node in self.nodes.items() if node.gateway.relay.transactions)
 
+    def cut_off(self, name: str, *, reached_by: str) -> None:
+        """Cuts an instance off from the store and from all other instances but one."""
+        self.nodes[name].platform.store.cut_off = True
+        others = self.nodes.keys() - {name, reached_by}
+        self.network.cut_peers |= {frozenset((f"{name}:1", f"{other}:1")) for other in others}
+
     async def asker_session(self, database: str = "current") -> Caller:
         """Opens a session at the asker."""
         return await self.caller(self.asker, database)
@@ -95,3 +102,19 @@
             return
         self.seen.set()
         await self._continue.wait()
+
+
+class RelayedStatements:
+    """Records which relays answer statements.
+
+    Attributes:
+        relays: Names of the relays.
+    """
+
+    def __init__(self, fleet: RelayedFleet) -> None:
+        self.relays: set[str] = set()
+        fleet.network.on_message = self._on_message
+
+    async def _on_message(self, stage: str, address: str, message: Any) -> None:
+        if stage == "answered" and isinstance(message, RelayStatement):
+            self.relays.add(address.removesuffix(":1"))
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tests.gateway._cluster import ROUTES, SERVICE, GatewayCluster
-from tests.gateway._relayed_fleet import LIMIT, RelayedFleet
+from tests.gateway._relayed_fleet import LIMIT, RelayedFleet, RelayedStatements
 from wigeonpoint.process.gateway._member_sharing import relay_count
 from wigeonpoint.process.gateway._table_feed import FEED_WAIT_S
 from wigeonpoint.process.gateway.control._watch_set import store_reader
@@ -17,6 +17,7 @@
 APPLY_S = 3.0  # an acknowledged change is active everywhere within this time
 REVERT_S = 0.25  # after a member has seen the effect of a version, no older one is used
 CHECK_INTERVAL_S = 0.005
+STATEMENTS = 5
 
 
 class TestChanges:
@@ -103,6 +104,24 @@
                 assert all(self.has_route(fleet, name, database) for name in fleet.nodes)
                 await asyncio.sleep(1.0 + 0.03 * number)  # varies the moment between two pings
 
+    async def test_relay_that_reaches_only_the_asker_keeps_to_one_version(self) -> None:
+        """Guards against a relay that runs statements under a version that it does not have."""
+        async with RelayedFleet() as fleet:
+            await asyncio.sleep(FEED_WAIT_S)
+            asker, relay = fleet.asker, fleet.relays()[0]
+            fleet.cut_off(relay, reached_by=asker)
+            ran = RelayedStatements(fleet)
+            fleet.configure({**ROUTES, "added": (SERVICE, "CURRENT")})
+            while not await self.accepts(fleet, asker, "added"):
+                await asyncio.sleep(CHECK_INTERVAL_S)
+            caller = await fleet.caller(asker, "added")
+            for number in range(STATEMENTS):
+                assert (await caller.query(f"WRITE a {number}")).served
+            await asyncio.sleep(REVERT_S)
+            assert ran.relays
+            for name in ran.relays:
+                assert await self.accepts(fleet, name, "added")
+
     @staticmethod
     def has_route(fleet: RelayedFleet, name: str, database: str) -> bool:
         """Whether a route is active on an instance."""
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -125,6 +125,9 @@
     "CHANGE_WATCH_FAILED": (
         "Changes reach this instance by other peers, by pings or by its own feed meanwhile."
     ),
+    "CATCH_UP_FAILED": (
+        "A statement of another instance was refused here as not run; other relays run it."
+    ),
     "SETTINGS_READ": "The settings file was read after SIGHUP and is valid.",
     "SETTINGS_REFUSED": ("The changed settings file is invalid; the process keeps the old values."),
     "TABLE_COPIED": "This instance's feed is behind; another instance had newer rows.",
