Restart background loops that end on an unexpected error

No input that brings it about was found: 34 series of 400 random rows of operators, members and control records ended no loop.

Cause: the loops that follow tables, ping peers, wait for changes, renew the lease and watch primaries catch the errors that they know. Any other ended the loop; its task was kept, so that not even a log line came. Class of fault: a task whose end nothing notices.

A feed applies again what an error kept from being applied.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -8,6 +8,7 @@
 
 from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._background import start_loop
 from wigeonpoint.process.gateway._executor import StatementExecutor
 from wigeonpoint.process.gateway._member_sharing import MemberSharing
 from wigeonpoint.process.gateway._platform import GatewayPlatform, Listener
@@ -147,7 +148,7 @@
         self.peers.start()
         if self.failover is not None:
             self.failover.start()
-        self._maintenance = asyncio.create_task(self._run_maintenance())
+        self._maintenance = start_loop(self._run_maintenance)
         self._settle_timer = asyncio.get_running_loop().call_later(FLEET_START_S, self._prewarm)
         self._listeners = [
             self._platform.listen_for_callers(settings.caller_address, self.sessions.serve),
--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -9,6 +9,7 @@
 
 from wigeonpoint.errors import StoreUnavailable
 from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._background import start_loop
 from wigeonpoint.process.gateway._store_era import StoreEra
 from wigeonpoint.services import (
     HistoryLost,
@@ -71,6 +72,7 @@
         self._changed = 0
         self._changed_event = asyncio.Event()
         self._loaded = False
+        self._unapplied = False  # whether an error kept a change of the copy from being applied
         self._reachable = True
         self._recovered_at = float("-inf")
         self._retry_pause_s = INITIAL_RETRY_PAUSE_S
@@ -122,7 +124,7 @@
 
     def start(self) -> None:
         """Starts following the table."""
-        self._task = asyncio.create_task(self._follow())
+        self._task = start_loop(self._follow)
 
     def close(self) -> None:
         """Stops following the table."""
@@ -158,7 +160,7 @@
             # The other instance has applied single rows that its own feed has not reported yet.
             applied = [row for row in read.rows if self._apply_row(row)]
             if applied:
-                self._on_change()
+                self._notify_change()
         else:
             self._replace(read)
         return True
@@ -166,7 +168,7 @@
     def apply(self, row: VersionedRow) -> None:
         """Applies a row that this instance or a peer has written, before the feed reports it."""
         if self._apply_row(row):
-            self._on_change()
+            self._notify_change()
 
     async def wait_for_change(self, known: int, *, timeout: float) -> int:
         """Waits until this copy knows a later change than a known one.
@@ -204,6 +206,8 @@
             if self._loaded and not self._follows():
                 await asyncio.sleep(FOLLOW_CHECK_INTERVAL_S)
                 continue
+            if self._unapplied:
+                self._notify_change()
             try:
                 if self._loaded:
                     await self._follow_changes()
@@ -269,7 +273,7 @@
         self._loaded = True
         if new_era:
             self._store_era.note(self.era)
-        self._on_change()
+        self._notify_change()
 
     def _begin_era(self, version: int) -> None:
         """Notes the first copy since the start or since the store was restored."""
@@ -282,8 +286,8 @@
     def _apply_changes(self, changes: RowsRead) -> None:
         applied = [row for row in changes.rows if self._apply_row(row)]
         self._version = max(self._version, changes.version)
-        if applied:
-            self._on_change()
+        if applied or self._unapplied:
+            self._notify_change()
 
     def _apply_row(self, row: VersionedRow) -> bool:
         known = self._rows.get(row.key)
@@ -305,6 +309,11 @@
         self._changed_event.set()
         self._changed_event = asyncio.Event()
 
+    def _notify_change(self) -> None:
+        self._unapplied = True
+        self._on_change()
+        self._unapplied = False
+
     async def _handle_failure(self, error: StoreUnavailable) -> None:
         if self._reachable:
             log_event(Event.STORE_UNREACHABLE, table=self._table, reason=str(error))
@@ -316,6 +325,6 @@
         if not self._reachable:
             log_event(Event.STORE_REACHABLE, table=self._table, **version_fields(self._version))
             self._recovered_at = asyncio.get_running_loop().time()
-            self._on_change()
+            self._notify_change()
         self._reachable = True
         self._retry_pause_s = INITIAL_RETRY_PAUSE_S
--- a/src/wigeonpoint/process/gateway/control/_change_watch.py
+++ b/src/wigeonpoint/process/gateway/control/_change_watch.py
@@ -9,10 +9,12 @@
 
 import asyncio
 from collections.abc import Mapping
+from functools import partial
 
 from wigeonpoint.connection import PeerDispatcher, PeerTransport
 from wigeonpoint.errors import InvalidRequest, WigeonpointError
 from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._background import start_loop
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._messages import AwaitChange, LatestChange
 from wigeonpoint.process.gateway.control._table_exchange import TableExchange
@@ -61,7 +63,7 @@
             self._tasks.pop(address).cancel()
         for address in peers.keys() - self._tasks.keys():
             delay_s = 0.0 if peers[address] else REMOTE_COPY_DELAY_S
-            self._tasks[address] = asyncio.create_task(self._watch(address, delay_s))
+            self._tasks[address] = start_loop(partial(self._watch, address, delay_s))
 
     def close(self) -> None:
         """Ends all waiting."""
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -8,6 +8,7 @@
 
 from wigeonpoint.backend import LogPosition
 from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._background import start_loop
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway._store_era import StoreEra
@@ -281,9 +282,9 @@
         self.feed.start()
         self._quorum_leases.start(self._quorum_leases_due_s)
         self._tasks = [
-            asyncio.create_task(self._registration.run()),
-            asyncio.create_task(self._keeper.run()),
-            asyncio.create_task(self._watch_lease()),
+            start_loop(self._registration.run),
+            start_loop(self._keeper.run),
+            start_loop(self._watch_lease),
         ]
 
     def close(self) -> None:
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._background import start_loop
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway.control._announcement_handler import AnnouncementHandler
@@ -79,7 +80,7 @@
 
     def start(self) -> None:
         """Starts watching."""
-        self._check_task = asyncio.create_task(self._run())
+        self._check_task = start_loop(self._run)
 
     def close(self) -> None:
         """Stops watching; another instance takes over a change in progress."""
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -6,11 +6,13 @@
 from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import replace
+from functools import partial
 from math import ceil
 
 from wigeonpoint.connection import PeerDispatcher, PeerTransport
 from wigeonpoint.errors import WigeonpointError
 from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._background import start_loop
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._change_watch import ChangeWatch
 from wigeonpoint.process.gateway.control._control_state import ControlState
@@ -116,7 +118,7 @@
 
     def start(self) -> None:
         """Starts pinging."""
-        self._update_task = asyncio.create_task(self._update_pingers())
+        self._update_task = start_loop(self._update_pingers)
 
     def close(self) -> None:
         """Stops pinging."""
@@ -293,7 +295,7 @@
                 self._late.discard(address)
                 self._transport.disconnect(address)
             for address in intervals.keys() - self._pingers.keys():
-                self._pingers[address] = asyncio.create_task(self._ping_peer(address))
+                self._pingers[address] = start_loop(partial(self._ping_peer, address))
             self._changes.update(self._watched_addresses() if self._large_fleet else {})
             await asyncio.sleep(self._watch_interval_s)
 
--- a/src/wigeonpoint/process/gateway/control/_quorum_leases.py
+++ b/src/wigeonpoint/process/gateway/control/_quorum_leases.py
@@ -13,9 +13,11 @@
 import asyncio
 import random
 from collections.abc import Callable, Collection, Mapping
+from functools import partial
 
 from wigeonpoint.backend import MemberRole
 from wigeonpoint.connection.session import MemberReport
+from wigeonpoint.process.gateway._background import start_loop
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._suspension import Clock
 from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S
@@ -176,7 +178,7 @@
         Args:
             due_s: Returns the seconds until quorum leases are needed, 0 if they are now.
         """
-        self._task = asyncio.create_task(self._run(due_s))
+        self._task = start_loop(partial(self._run, due_s))
 
     def close(self) -> None:
         """Stops asking members."""
