Take a lower version for the operators' choice only while the store can be read

Cause: an instance that has never read the version which the copy holds waits for 1.5 s whether the operators write a later one again, and then takes it for the one that they go on from. It looked at its own copy of the row, which does not change while the instance is cut off or the store is away again. Class of fault: the absence of news is taken for news.

Change: the row is read five times in a row, 0.3 s apart, before the version becomes active; a read that fails begins anew. Event 221 tells of it.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -94,6 +94,7 @@
     ROW_UNREADABLE = (214, logging.WARNING, "a row of the store cannot be read and is ignored")
     MEMBERS_CHANGED = (215, logging.INFO, "member removed from the directory")
     STORE_RESTORED = (218, logging.WARNING, "the platform's store was restored from an older copy")
+    REISSUE_UNCONFIRMED = (221, logging.INFO, "a lower version in the store waits to be read again")
     CATCH_UP_FAILED = (220, logging.INFO, "a configuration newer than here could not be copied")
     CHANGE_WATCH_FAILED = (219, logging.INFO, "a peer no longer tells of changes of a table")
 
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from wigeonpoint.errors import StoreUnavailable
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_sharing import MemberSharing
@@ -25,9 +26,10 @@
     Service,
 )
 
-# Operators write their newest version again within this time after a restore of the store. A lower
-# version that the store still holds then is the one that they go on from.
-REISSUE_SETTLING_S = 1.5
+# Operators write their newest version again soon after a restore of the store. A lower version that
+# the store still holds in this many reads in a row is the one that they go on from.
+REISSUE_READS = 5
+REISSUE_READ_INTERVAL_S = 0.3
 # Of the time in which a change must be active, for one call to wait for it. Calls of all instances
 # begin together after a change; if they are lost together, the next calls must still be in time.
 CONFIGURATION_WAIT_SHARE = 0.6
@@ -80,6 +82,7 @@
         self._groups: dict[str, Group] = {}
         self._decoded_members: dict[str, tuple[VersionedRow, MemberRecord | None]] = {}
         self._doubtful_version: int | None = None  # of the row whose catalogue is doubtful
+        self._settling: asyncio.Task[None] | None = None  # while it is doubtful
         self._expiry_timer: asyncio.TimerHandle | None = None
         self._loaded_event = asyncio.Event()
         names = platform.tables
@@ -181,6 +184,7 @@
         """Stops following the tables and closes the connections."""
         self.operators.close()
         self.members.close()
+        self._cancel_settling()
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
         for group in self._groups.values():
@@ -206,16 +210,34 @@
             self._log_catalogue()
         elif verdict is CatalogueVerdict.DOUBTFUL and row.version != self._doubtful_version:
             self._doubtful_version = row.version
-            asyncio.get_running_loop().call_later(
-                REISSUE_SETTLING_S, self._activate_reissued, row, catalogue
-            )
+            self._cancel_settling()
+            self._settling = asyncio.create_task(self._settle_reissued(row, catalogue))
 
-    def _activate_reissued(self, row: VersionedRow, catalogue: Catalogue) -> None:
-        """Activates a lower version if it is still what the operators' table holds."""
-        held = self.operators.rows.get(row.key)
-        if held is not None and held.version == row.version == self._doubtful_version:
-            self._active.replace(catalogue, era=era_of(row.version))
-            self._log_catalogue()
+    async def _settle_reissued(self, row: VersionedRow, catalogue: Catalogue) -> None:
+        """Activates a lower version if the store goes on holding it.
+
+        While the store cannot be read, neither a change of the row nor its absence is seen, and the
+        operators may not reach the store either.
+        """
+        reads = 0
+        while reads < REISSUE_READS:
+            await asyncio.sleep(REISSUE_READ_INTERVAL_S)
+            try:
+                await self.operators.poll()
+            except StoreUnavailable as error:
+                log_event(Event.REISSUE_UNCONFIRMED, version=catalogue.version, reason=str(error))
+                reads = 0
+                continue
+            held = self.operators.rows.get(row.key)
+            if held is None or held.version != row.version:
+                return
+            reads += 1
+        self._active.replace(catalogue, era=era_of(row.version))
+        self._log_catalogue()
+
+    def _cancel_settling(self) -> None:
+        if self._settling is not None:
+            self._settling.cancel()
 
     def _log_catalogue(self) -> None:
         catalogue = self._active.catalogue
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -195,6 +195,35 @@
                 await asyncio.sleep(0.1)
                 assert not behind(cluster, "kept")
 
+    @pytest.mark.parametrize("fault", ["instance cut off", "store away"])
+    async def test_copy_is_not_taken_for_the_operators_choice_while_it_cannot_be_read_again(
+        self, fault: str
+    ) -> None:
+        """Guards against an instance that reverts because it does not see the rewritten version."""
+        async with GatewayCluster() as cluster:
+            cluster.configure(routes("copied"))
+            copied_at = cluster.store.version
+            cluster.kill("g-chur")
+            cluster.configure(routes("kept"))
+            cluster.start("g-chur", "chur")  # has never read the version of the copy
+            await asyncio.sleep(1.0)
+            await restore(cluster, copied_at, outage_s=0.5, rewrite=False)
+            await asyncio.sleep(0.6)  # by now all instances have read the copy
+            if fault == "instance cut off":
+                cluster.isolate("chur")
+                cluster.rewrite_configuration()
+            else:
+                cluster.store.down = True
+            for _ in range(40):
+                await asyncio.sleep(0.1)
+                assert not behind(cluster, "kept")
+            cluster.network.heal()
+            cluster.store.down = False
+            cluster.rewrite_configuration()
+            cluster.configure(routes("added"))
+            await asyncio.sleep(APPLY_S)
+            assert not behind(cluster, "added")
+
     async def test_store_is_not_called_without_a_pause(self) -> None:
         """Guards against feeds that repeat a call of which the store has lost the history."""
         async with GatewayCluster() as cluster:
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -128,6 +128,9 @@
     "CATCH_UP_FAILED": (
         "A statement of another instance was refused here as not run; other relays run it."
     ),
+    "REISSUE_UNCONFIRMED": (
+        "The store was restored and is away again; the newest known configuration stays active."
+    ),
     "SETTINGS_READ": "The settings file was read after SIGHUP and is valid.",
     "SETTINGS_REFUSED": ("The changed settings file is invalid; the process keeps the old values."),
     "TABLE_COPIED": "This instance's feed is behind; another instance had newer rows.",
