--- a/tests/gateway/test_background.py
+++ b/tests/gateway/test_background.py
@@ -39,23 +39,27 @@
 class TestUnexpectedErrors:
     """What an instance knows after an unexpected error in one of its loops."""
 
-    async def test_change_whose_application_failed_is_active_in_time(self) -> None:
+    async def test_change_whose_application_failed_is_active_in_time(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
         """Guards against a feed that ends for good, so that the instance keeps its routes."""
         async with GatewayCluster() as cluster:
             node = cluster.nodes["g-chur"]
             decoder = FailingDecoder(node.platform.decode_catalogue)
-            node.platform.decode_catalogue = decoder  # type: ignore[method-assign]
+            monkeypatch.setattr(node.platform, "decode_catalogue", decoder)
             cluster.configure(ADDED)
             await asyncio.sleep(APPLY_S)
             assert decoder.failures
             assert "added" in node.gateway.view.catalogue().routes
 
-    async def test_new_member_is_known_after_its_row_failed_once(self) -> None:
+    async def test_new_member_is_known_after_its_row_failed_once(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
         """Guards against an instance that never learns of members again."""
         async with GatewayCluster() as cluster:
             node = cluster.nodes["g-chur"]
             decoder = FailingDecoder(node.platform.decode_member)
-            node.platform.decode_member = decoder  # type: ignore[method-assign]
+            monkeypatch.setattr(node.platform, "decode_member", decoder)
             cluster.group.add("m-new", "chur")
             await asyncio.sleep(APPLY_S)
             assert decoder.failures
