Apply a raised idle limit to transactions that are already idle

Cause: the limit was read once, when the caller's pause began. Class of fault: a value of the configuration is kept beyond the moment at which it is used. Routes are read for each statement, and for a transaction at its beginning, as operators are promised.

Change: when the limit that was read has passed, the present one decides.

Result: test_longer_idle_limit_holds_for_transactions_that_are_open failed before and passes; a limit that is changed still ends transactions (test_idle_limit_holds_after_it_was_changed, passed before).

--- a/src/wigeonpoint/process/gateway/_session_service.py
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -162,8 +162,7 @@
             return await connection.receive()
         receiving = asyncio.ensure_future(connection.receive())
         try:
-            done, _ = await asyncio.wait({receiving}, timeout=self._catalogue().transaction_idle_s)
-            if not done:
+            if not await self._arrives_within_idle_limit(receiving):
                 self._abort_idle_transaction(session)
             return await receiving
         finally:
@@ -172,6 +171,17 @@
                 with suppress(asyncio.CancelledError, CallerDisconnected):
                     await receiving
 
+    async def _arrives_within_idle_limit(self, receiving: asyncio.Future[CallerMessage]) -> bool:
+        """Waits for a message; the limit may change meanwhile."""
+        loop = asyncio.get_running_loop()
+        idle_since = loop.time()
+        while not receiving.done():
+            remaining_s = idle_since + self._catalogue().transaction_idle_s - loop.time()
+            if remaining_s <= 0:
+                return False
+            await asyncio.wait({receiving}, timeout=remaining_s)
+        return True
+
     def _abort_idle_transaction(self, session: CallerSession) -> None:
         if session.transaction is not None:
             log_event(Event.TRANSACTION_ABORTED, reason="idle", session=session.number)
--- a/tests/gateway/_platform.py
+++ b/tests/gateway/_platform.py
@@ -30,6 +30,7 @@
     number_of,
 )
 from wigeonpoint.version.catalogue import (
+    DEFAULT_TRANSACTION_IDLE_S,
     Catalogue,
     Consistency,
     DatabaseRoute,
@@ -320,9 +321,16 @@
     return orjson.dumps(fields)
 
 
-def encode_catalogue(version: int, routes: dict[str, tuple[str, str]], **timeouts: float) -> bytes:
+def encode_catalogue(
+    version: int,
+    routes: dict[str, tuple[str, str]],
+    *,
+    idle_s: float = DEFAULT_TRANSACTION_IDLE_S,
+    **timeouts: float,
+) -> bytes:
     """Encodes routes, given as service and consistency by database name."""
-    return orjson.dumps({"version": version, "routes": routes, "timeouts": timeouts})
+    fields = {"version": version, "routes": routes, "timeouts": timeouts, "idle_s": idle_s}
+    return orjson.dumps(fields)
 
 
 def decode_catalogue(row: VersionedRow) -> Catalogue:
@@ -342,4 +350,4 @@
             max_age_s=None if kind is Consistency.CURRENT else 1.5,
         )
     services = {service: Service(service) for service, _ in fields["routes"].values()}
-    return Catalogue(fields["version"], routes, services)
+    return Catalogue(fields["version"], routes, services, transaction_idle_s=fields["idle_s"])
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -35,6 +35,35 @@
                 assert "added" in node.gateway.view.catalogue().routes
 
 
+class TestLimits:
+    """Limits that change while something is subject to them."""
+
+    async def test_longer_idle_limit_holds_for_transactions_that_are_open(self) -> None:
+        """Guards against a transaction that is rolled back by the limit of an older version."""
+        async with GatewayCluster() as cluster:
+            cluster.configure(ROUTES, idle_s=1.0)
+            await asyncio.sleep(0.5)
+            caller = await cluster.caller("g-chur", "current")
+            await caller.query("BEGIN")
+            assert (await caller.query("WRITE a x")).served
+            await asyncio.sleep(0.5)
+            cluster.configure(ROUTES, idle_s=10.0)
+            await asyncio.sleep(APPLY_S)
+            assert (await caller.query("COMMIT")).served
+
+    async def test_idle_limit_holds_after_it_was_changed(self) -> None:
+        """Guards against transactions that stay open for good after a change of the limit."""
+        async with GatewayCluster() as cluster:
+            cluster.configure(ROUTES, idle_s=1.0)
+            await asyncio.sleep(0.5)
+            caller = await cluster.caller("g-chur", "current")
+            await caller.query("BEGIN")
+            assert (await caller.query("WRITE a x")).served
+            cluster.configure(ROUTES, idle_s=2.0)
+            await asyncio.sleep(2.5)
+            assert not (await caller.query("COMMIT")).served
+
+
 class TestReachability:
     """Whether an instance knows that the store answers."""
 
