--- a/tests/gateway/_write_series.py
+++ b/tests/gateway/_write_series.py
@@ -4,10 +4,12 @@
 
 import asyncio
 from contextlib import suppress
+from dataclasses import replace
 from itertools import count
 
 from tests.gateway._cluster import Caller, CallerDisconnected, GatewayCluster
 from tests.gateway._fault_series import FaultSeries, Step
+from tests.gateway._members import ModelMember
 
 CALLERS = 6
 WRITE_SHARE = 0.6
@@ -16,6 +18,7 @@
 SESSION_S = 3.0  # for which a caller waits for its session
 ANSWER_S = 5.0  # for which it waits for an answer
 CRASH_S = (0.5, 5.0)
+DRAIN_S = 7.0  # after which a leaving member must get no new statement
 CALM_S = 2.0
 CALM_WRITES = 10  # acknowledged in `CALM_S` at least, so that a stall shows
 
@@ -25,6 +28,7 @@
 
     A replaced primary must acknowledge nothing, a current read must see the caller's acknowledged
     writes unless a promotion rolled them back, and no two holders may promote with the same token.
+    A leaving member must get no new statement once it may have stopped.
     """
 
     def __init__(self, cluster: GatewayCluster, seed: int, *, restores: bool) -> None:
@@ -36,7 +40,12 @@
     @property
     def steps(self) -> list[Step]:
         """Faults, lost primaries and trouble with writes of the store."""
-        return [*super().steps, self._crash_primary, self._lose_commit, self._delay_commit]
+        return [
+            *super().steps,
+            self._crash_primary,
+            self._lose_commit,
+            self._delay_commit,
+        ]
 
     async def play(self, seconds: float) -> None:
         """Plays faults while callers write and read, and compares the fencing tokens."""
@@ -50,12 +59,23 @@
             self.violations.append(f"tokens with several holders: {sorted(holders)}")
 
     async def check_calm(self) -> None:
-        """Checks that callers are served."""
+        """Checks that callers are served, and that a leaving member gets no new statements."""
         before = self._acknowledged
         await self.wait(CALM_S)
         if self._acknowledged - before < CALM_WRITES:
             writes = self._acknowledged - before
             self.violations.append(f"{self.now:.2f} s: {writes} writes in {CALM_S} s")
+        await self._check_leaving(self.random.choice(list(self.cluster.group.members.values())))
+
+    async def _check_leaving(self, member: ModelMember) -> None:
+        self.cluster.announce_shutdown(member)
+        await self.wait(DRAIN_S)
+        runs = len(member.runs)
+        await self.wait(CALM_S)
+        if len(member.runs) > runs:
+            self.violations.append(f"{self.now:.2f} s: statements at a leaving member")
+        started_ms = member.record.born_ms + 1
+        member.record = replace(member.record, leaving=False, born_ms=started_ms)
 
     async def _call(self, item: str) -> None:
         """Writes ascending numbers to an item and reads it, at one instance after another."""
