--- a/tests/gateway/_write_series.py
+++ b/tests/gateway/_write_series.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from contextlib import suppress
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from itertools import count
 
 from tests.gateway._cluster import Caller, CallerDisconnected, GatewayCluster
@@ -23,6 +22,21 @@
 CALM_WRITES = 10  # acknowledged in `CALM_S` at least, so that a stall shows
 
 
+@dataclass(slots=True)
+class _Item:
+    """An item that one caller writes and reads.
+
+    Attributes:
+        name: Its name.
+        written: The last number whose write was acknowledged.
+        promotions: Number of promotions in the group at that time.
+    """
+
+    name: str
+    written: int = 0
+    promotions: int = 0
+
+
 class WriteSeries(FaultSeries):
     """Writes and reads among faults.
 
@@ -49,7 +63,8 @@
 
     async def play(self, seconds: float) -> None:
         """Plays faults while callers write and read, and compares the fencing tokens."""
-        callers = [asyncio.create_task(self._call(f"item{one}")) for one in range(CALLERS)]
+        items = [_Item(f"item{one}") for one in range(CALLERS)]
+        callers = [asyncio.create_task(self._call(item)) for item in items]
         await super().play(seconds)
         for caller in callers:
             caller.cancel()
@@ -77,29 +92,21 @@
         started_ms = member.record.born_ms + 1
         member.record = replace(member.record, leaving=False, born_ms=started_ms)
 
-    async def _call(self, item: str) -> None:
+    async def _call(self, item: _Item) -> None:
         """Writes ascending numbers to an item and reads it, at one instance after another."""
         caller: Caller | None = None
-        written, promotions = 0, 0
         while True:
             await asyncio.sleep(self.random.uniform(*PAUSE_S))
             if caller is None or caller.closed or self.random.random() < RECONNECT_SHARE:
                 caller = await self._connect()
             if caller is None:
                 continue
-            with suppress(CallerDisconnected, TimeoutError):
-                if self.random.random() < WRITE_SHARE:
-                    number = next(self._numbers)
-                    if await self._write(caller, item, number):
-                        written, promotions = number, self.cluster.group.promotions
-                    continue
-                seen = await self._read(caller, item)
-                if seen is None or promotions != self.cluster.group.promotions:
-                    continue
-                if seen < written:
-                    self.violations.append(f"{self.now:.2f} s: {item} {seen} after {written}")
-                continue
-            caller = None
+            run = self._write if self.random.random() < WRITE_SHARE else self._read
+            try:
+                async with asyncio.timeout(ANSWER_S):
+                    await run(caller, item)
+            except (CallerDisconnected, TimeoutError):
+                caller = None
 
     async def _connect(self) -> Caller | None:
         name = self.random.choice(list(self.cluster.nodes))
@@ -110,27 +117,26 @@
             return None
         return caller if caller.rejected is None else None
 
-    async def _write(self, caller: Caller, item: str, number: int) -> bool:
-        """Writes a number; returns whether it was acknowledged."""
+    async def _write(self, caller: Caller, item: _Item) -> None:
+        number = next(self._numbers)
         statement_id = f"w{number}"
-        async with asyncio.timeout(ANSWER_S):
-            result = await caller.query(f"WRITE {item} {number}", statement_id=statement_id)
+        result = await caller.query(f"WRITE {item.name} {number}", statement_id=statement_id)
         if not result.served:
-            return False
+            return
         self._acknowledged += 1
+        item.written, item.promotions = number, self.cluster.group.promotions
         if statement_id in self.cluster.group.commits_after_replacement:
             self.violations.append(f"{self.now:.2f} s: {statement_id} at a replaced primary")
-        return True
-
-    async def _read(self, caller: Caller, item: str) -> int | None:
-        """Reads an item; returns None if that was refused or a promotion came meanwhile."""
-        promotions = self.cluster.group.promotions
-        async with asyncio.timeout(ANSWER_S):
-            result = await caller.query(f"READ {item}")
-        if not result.served or promotions != self.cluster.group.promotions:
-            return None
+
+    async def _read(self, caller: Caller, item: _Item) -> None:
+        """Reads an item, and compares it with what was written unless a promotion came since."""
+        result = await caller.query(f"READ {item.name}")
+        if not result.served or item.promotions != self.cluster.group.promotions:
+            return
         rows = result.reply.rows
-        return int(rows[0]) if rows and rows[0] else 0
+        seen = int(rows[0]) if rows and rows[0] else 0
+        if seen < item.written:
+            self.violations.append(f"{self.now:.2f} s: {item.name} {seen} after {item.written}")
 
     def _crash_primary(self) -> None:
         if not self._crashing:
