Copy large configurations over narrow links in time, and without delaying pings

Cause: a copy of the configuration has several 100 KB and takes most of a second over the links of these machines. A response of the store had to be complete within the time of the call, so that a reader with a narrow link failed likewise. Class of fault: a limit on the whole of a transfer whose size has no limit.

Change: copies have connections of their own and 3 s; those of other tables than the control table are fetched in the background and do not delay a ping's result. A response of the store may go on arriving as long as it does not stall. A relay that lacks a configuration copies it in the background and runs the statement.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -95,7 +95,7 @@
     MEMBERS_CHANGED = (215, logging.INFO, "member removed from the directory")
     STORE_RESTORED = (218, logging.WARNING, "the platform's store was restored from an older copy")
     REISSUE_UNCONFIRMED = (221, logging.INFO, "a lower version in the store waits to be read again")
-    CATCH_UP_FAILED = (220, logging.INFO, "a configuration newer than here could not be copied")
+    COPY_FAILED = (220, logging.INFO, "a newer copy of a table could not be fetched from a peer")
     CHANGE_WATCH_FAILED = (219, logging.INFO, "a peer no longer tells of changes of a table")
 
     def __init__(self, number: int, level: int, sentence: str) -> None:
--- a/src/wigeonpoint/platform/_http.py
+++ b/src/wigeonpoint/platform/_http.py
@@ -13,6 +13,9 @@
 from wigeonpoint.platform._sockets import connect_stream
 
 CONNECT_TIMEOUT_S = 1.0
+# A response whose body arrives in parts is awaited for this long after each part. A large one takes
+# longer over a narrow link than a caller waits for the first part.
+BODY_STALL_TIMEOUT_S = 1.0
 MAX_BODY_BYTES = 64 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 4
 
@@ -59,18 +62,22 @@
             path: Path with query.
             body: Request body.
             headers: Further headers.
-            timeout: Seconds until the response must be complete.
+            timeout: Seconds until the response must have begun to arrive; a short one is complete
+                then.
 
         Raises:
             StoreUnavailable: No complete response arrived; the request may have taken effect.
         """
         stream: IOStream | None = None
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout) as limit:
                 stream = self._idle.pop() if self._idle else None
                 if stream is None or stream.closed():
                     stream = await connect_stream(self._address, timeout=CONNECT_TIMEOUT_S)
-                response = await _exchange(stream, self._address, method, path, body, headers or {})
+                collector = _ResponseCollector(limit)
+                response = await _exchange(
+                    stream, self._address, method, path, body, headers or {}, collector
+                )
         except (OSError, StreamClosedError, TimeoutError) as error:
             _close(stream)
             reason = str(error) or "no answer in time"
@@ -92,9 +99,14 @@
 
 
 class _ResponseCollector(HTTPMessageDelegate):
-    """Collects the parts of a response."""
+    """Collects the parts of a response, and extends its time limit with each.
 
-    def __init__(self) -> None:
+    Args:
+        limit: The time limit.
+    """
+
+    def __init__(self, limit: asyncio.Timeout) -> None:
+        self._limit = limit
         self.status = 0
         self.headers = HTTPHeaders()
         self._chunks: list[bytes] = []
@@ -109,6 +121,9 @@
 
     def data_received(self, chunk: bytes) -> None:
         self._chunks.append(chunk)
+        stalled_at = asyncio.get_running_loop().time() + BODY_STALL_TIMEOUT_S
+        if not self._limit.expired():
+            self._limit.reschedule(max(self._limit.when() or 0.0, stalled_at))
 
     def finish(self) -> None:
         self.complete = True
@@ -125,6 +140,7 @@
     path: str,
     body: bytes,
     headers: dict[str, str],
+    collector: _ResponseCollector,
 ) -> HttpResponse:
     parameters = HTTP1ConnectionParameters(max_body_size=MAX_BODY_BYTES)
     connection = HTTP1Connection(stream, True, parameters)
@@ -132,7 +148,6 @@
     if body or method in ("POST", "PUT"):
         fields["Content-Type"] = fields.get("Content-Type", "application/json")
         fields["Content-Length"] = str(len(body))
-    collector = _ResponseCollector()
     await connection.write_headers(RequestStartLine(method, path, "HTTP/1.1"), fields, body)
     connection.finish()
     await connection.read_response(collector)
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -80,6 +80,8 @@
         self._relay_links = RelayLinks(
             platform.peer_transport(settings.peer_address, self._dispatcher)
         )
+        # Another one, as a large copy would delay pings behind it.
+        self._copy_transport = platform.peer_transport(settings.peer_address, self._dispatcher)
         self._sharing = MemberSharing(settings.instance_id, lambda: self.control.instances)
         store_era = StoreEra()
         self.view = PlatformView(
@@ -184,6 +186,7 @@
         self._relay_links.close()
         self.view.close()
         self._transport.close()
+        self._copy_transport.close()
         self._platform.close()
         log_event(Event.INSTANCE_STOPPED)
 
@@ -193,6 +196,7 @@
         peers = GatewayPeers(
             self.control,
             self._transport,
+            self._copy_transport,
             tables={
                 CONTROL_TABLE: self.control.feed,
                 names.operators: self.view.operators,
--- a/src/wigeonpoint/process/gateway/control/_change_watch.py
+++ b/src/wigeonpoint/process/gateway/control/_change_watch.py
@@ -23,7 +23,6 @@
 AWAIT_CHANGE_S = 5.0
 ANSWER_MARGIN_S = 0.5
 RETRY_PAUSE_S = 0.4
-CATCH_UP_TIMEOUT_S = 0.1  # a statement waits for the copy, and other relays may run it
 # A copy from another data centre is fetched only if none came from the own one by then, as bytes
 # between data centres are charged.
 REMOTE_COPY_DELAY_S = 0.05
@@ -69,31 +68,6 @@
         """Ends all waiting."""
         self.update({})
 
-    async def catch_up(self, address: str | None, changed: int) -> bool:
-        """Copies the table if a peer knows a later change of it.
-
-        Args:
-            address: Address of the peer, None if it is not known.
-            changed: Store version of the change.
-
-        Returns:
-            Whether the change is known here now.
-        """
-        if not self._feed.lacks(changed):
-            return True
-        try:
-            if address is not None:
-                async with asyncio.timeout(CATCH_UP_TIMEOUT_S):
-                    await self._fetch(address, changed)
-        except (WigeonpointError, TimeoutError) as error:
-            log_event(
-                Event.CATCH_UP_FAILED,
-                address=address,
-                table=self._table,
-                reason=str(error) or "no copy in time",
-            )
-        return not self._feed.lacks(changed)
-
     async def _watch(self, address: str, delay_s: float) -> None:
         answers = True
         while True:
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -58,6 +58,7 @@
     Args:
         control: Control state of this instance.
         transport: Sends messages.
+        copy_transport: Fetches copies of tables.
         tables: Feeds of all tables by name.
         prompt_table: Name of the table whose changes are copied without waiting for the next pings.
         own_state: Gives the state that is sent to peers.
@@ -75,6 +76,7 @@
         self,
         control: ControlState,
         transport: PeerTransport,
+        copy_transport: PeerTransport,
         *,
         tables: Mapping[str, TableFeed],
         prompt_table: str,
@@ -89,7 +91,8 @@
     ) -> None:
         self._control = control
         self._transport = transport
-        self._tables = TableExchange(transport, tables)
+        self._tables = TableExchange(copy_transport, tables)
+        self._prompt_table, self._prompt_feed = prompt_table, tables[prompt_table]
         self._changes = ChangeWatch(transport, self._tables, prompt_table, tables[prompt_table])
         self._own_state = own_state
         self._seeds = [seed for seed in seeds if seed != address]
@@ -125,6 +128,7 @@
         if self._update_task is not None:
             self._update_task.cancel()
         self._changes.close()
+        self._tables.close()
         for task in self._pingers.values():
             task.cancel()
 
@@ -159,18 +163,16 @@
         )
         return coordinator == self._control.name
 
-    async def catch_up(self, name: str, changed: int) -> bool:
-        """Copies the prompt table from a peer that knows a later change of it.
+    def catch_up(self, name: str, changed: int) -> None:
+        """Copies the prompt table in the background from a peer that knows a later change of it.
 
         Args:
             name: Name of the peer.
             changed: Store version of the change.
-
-        Returns:
-            Whether the change is known here now.
         """
         peer = self._control.peers.get(name)
-        return await self._changes.catch_up(peer.address if peer else None, changed)
+        if peer is not None and self._prompt_feed.lacks(changed):
+            self._tables.start_fetch(peer.address, self._prompt_table)
 
     def state(self, name: str) -> GatewayState | None:
         """The last state of a peer, None if it has not answered for `STATE_MAX_AGE_S`."""
--- a/src/wigeonpoint/process/gateway/control/_table_exchange.py
+++ b/src/wigeonpoint/process/gateway/control/_table_exchange.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping
 
 from wigeonpoint.connection import PeerDispatcher, PeerTransport
+from wigeonpoint.errors import OutcomeUnknown, WigeonpointError
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._messages import (
@@ -27,7 +29,9 @@
     version_fields,
 )
 
-FETCH_TIMEOUT_S = 0.6
+CONTROL_FETCH_TIMEOUT_S = 0.6
+# Of the other tables. A configuration of many routes takes most of a second over a narrow link.
+FETCH_TIMEOUT_S = 3.0
 BEHIND_PING_LIMIT = 2  # a working feed of the own brings a change within fewer pings
 
 
@@ -35,7 +39,7 @@
     """Fetches tables of which peers know later changes, and gives peers the own copies.
 
     Args:
-        transport: Sends messages.
+        transport: Sends messages; it should carry nothing else, as large copies delay what follows.
         tables: Feeds of all tables by name.
     """
 
@@ -43,16 +47,17 @@
         self._transport = transport
         self._tables = tables
         self._behind: dict[tuple[str, str], int] = {}
+        self._copies: dict[str, asyncio.Task[None]] = {}
 
     def register(self, dispatcher: PeerDispatcher) -> None:
         """Registers the handler of requests for copies."""
         dispatcher.register(FetchTable, self._answer_fetch)
 
     async def fetch_newer(self, address: str, state: GatewayState) -> None:
-        """Fetches tables of which a peer knows later changes.
+        """Fetches tables of which a peer knows later changes, large ones in the background.
 
         Raises:
-            WigeonpointError: A table could not be fetched. Without the newest control rows, the
+            WigeonpointError: The control table could not be fetched. Without its newest rows, the
                 peer's answer must not renew the lease of this instance.
         """
         for table, feed in self._tables.items():
@@ -62,8 +67,27 @@
                 self._behind.pop((address, table), None)
                 continue
             behind = self._behind[address, table] = self._behind.get((address, table), 0) + 1
-            if table == CONTROL_TABLE or behind >= BEHIND_PING_LIMIT or not feed.loaded:
+            if table == CONTROL_TABLE:
                 await self.fetch(address, table)
+            elif behind >= BEHIND_PING_LIMIT or not feed.loaded:
+                self.start_fetch(address, table)
+
+    def start_fetch(self, address: str, table: str) -> None:
+        """Copies a table in the background, unless such a copy is under way."""
+        if table not in self._copies:
+            task = self._copies[table] = asyncio.create_task(self._fetch_or_log(address, table))
+            task.add_done_callback(lambda finished: self._copies.pop(table, None))
+
+    def close(self) -> None:
+        """Ends copies in the background."""
+        for task in self._copies.values():
+            task.cancel()
+
+    async def _fetch_or_log(self, address: str, table: str) -> None:
+        try:
+            await self.fetch(address, table)
+        except WigeonpointError as error:
+            log_event(Event.COPY_FAILED, address=address, table=table, reason=error.message)
 
     async def fetch(self, address: str, table: str) -> None:
         """Copies a table from a peer, if the peer knows a later change of it.
@@ -72,9 +96,14 @@
             WigeonpointError: The peer did not answer.
         """
         feed = self._tables[table]
-        copy = await self._transport.request(
-            address, FetchTable(table), TableCopy, timeout=FETCH_TIMEOUT_S
-        )
+        timeout = CONTROL_FETCH_TIMEOUT_S if table == CONTROL_TABLE else FETCH_TIMEOUT_S
+        try:
+            copy = await self._transport.request(
+                address, FetchTable(table), TableCopy, timeout=timeout
+            )
+        except OutcomeUnknown:
+            self._transport.disconnect(address)  # it may be silent
+            raise
         rows = [
             VersionedRow(
                 table, row.key, row.value.encode("latin-1"), _version(row.era, row.version, feed)
--- a/src/wigeonpoint/process/gateway/relay/_service.py
+++ b/src/wigeonpoint/process/gateway/relay/_service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Callable, Mapping
 
 from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.connection.session import (
@@ -39,8 +39,8 @@
 # connection, and opening a new one costs the member more.
 LATE_ANSWER_S = 0.5
 
-# Has a newer configuration copied from the instance of a name; returns whether it is known now.
-CatchUp = Callable[[str, int], Awaitable[bool]]
+# Has a newer configuration copied from an instance, given by its name and the store version there.
+CatchUp = Callable[[str, int], None]
 
 _IDLE = MemberAnswer(TransactionState.IDLE)
 _BEGIN = SessionStatement(id="", text="BEGIN", verb=Verb.BEGIN)
@@ -137,7 +137,7 @@
             NotRun: No connection was free in time, or the member did not answer.
         """
         terms = message.terms
-        await self._require_configuration(terms)
+        self._catch_up(terms.sender, terms.configuration)
         group = self._group(terms.group)
         pool, connection = await self._acquire(group, terms)
         exchange = Exchange(group, pool, connection, _make_session(terms), _BEGIN, self._guard)
@@ -173,7 +173,7 @@
             raise
 
     async def _run_single(self, message: RelayStatement) -> MemberAnswer:
-        await self._require_configuration(message.terms)
+        self._catch_up(message.terms.sender, message.terms.configuration)
         group = self._group(message.terms.group)
         pool, connection = await self._acquire(group, message.terms)
         try:
@@ -227,20 +227,6 @@
                 raise OutcomeUnknown(ResultCode.CONNECTION_LOST, _reason(error)) from error
             raise _lost(terms, error) from error
 
-    async def _require_configuration(self, terms: RelayTerms) -> None:
-        """Brings the configuration up to that of a statement's sender.
-
-        A member that has run a statement under a newer version must see none under an older one
-        from this instance.
-
-        Raises:
-            NotRun: NOT_OWNER; this instance still has an older configuration.
-        """
-        if not await self._catch_up(terms.sender, terms.configuration):
-            raise NotRun(
-                ResultCode.NOT_OWNER, f"the configuration of {terms.sender} is newer than here"
-            )
-
     async def _acquire(
         self, group: Group, terms: RelayTerms
     ) -> tuple[MemberPool, PooledConnection]:
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import pytest
 
 from tests.gateway._cluster import ROUTES, SERVICE, GatewayCluster
+from tests.gateway._platform import NAMES
 from tests.gateway._relayed_fleet import LIMIT, RelayedFleet, RelayedStatements
 from wigeonpoint.process.gateway._member_sharing import relay_count
 from wigeonpoint.process.gateway._table_feed import FEED_WAIT_S
+from wigeonpoint.process.gateway.control import LEASE_DURATION_S
+from wigeonpoint.process.gateway.control._messages import FetchTable
 from wigeonpoint.process.gateway.control._watch_set import store_reader
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -18,6 +22,8 @@
 REVERT_S = 0.25  # after a member has seen the effect of a version, no older one is used
 CHECK_INTERVAL_S = 0.005
 STATEMENTS = 5
+COPY_S = 1.0  # longer than peers wait for an answer to a ping
+LARGE_FLEET = 12  # instances; more than all watch each other
 
 
 class TestChanges:
@@ -35,6 +41,30 @@
                 assert "added" in node.gateway.view.catalogue().routes
 
 
+class TestNarrowLinks:
+    """Changes of a configuration that takes long to copy."""
+
+    async def test_slow_copies_are_active_in_time_and_lose_no_peers(self) -> None:
+        """Guards against copies of many routes that never end in time, and pings that wait."""
+
+        async def delay_copy(stage: str, address: str, message: Any) -> None:
+            slow = isinstance(message, FetchTable) and message.table == NAMES.operators
+            if stage == "answered" and slow:
+                await asyncio.sleep(COPY_S)
+
+        async with GatewayCluster() as cluster:
+            await cluster.grow(LARGE_FLEET)
+            cluster.network.on_message = delay_copy
+            cluster.configure({**ROUTES, "added": (SERVICE, "CURRENT")})
+            for _ in range(int(APPLY_S / LEASE_DURATION_S)):
+                await asyncio.sleep(LEASE_DURATION_S)
+                for node in cluster.nodes.values():
+                    assert node.gateway.control.lease_valid
+                    assert set(node.gateway.peers.reachable) == node.gateway.peers.watched
+            for node in cluster.nodes.values():
+                assert "added" in node.gateway.view.catalogue().routes
+
+
 class TestLimits:
     """Limits that change while something is subject to them."""
 
--- a/tests/gateway/test_table_exchange.py
+++ b/tests/gateway/test_table_exchange.py
@@ -46,6 +46,7 @@
         exchange = TableExchange(peer, {"t": feed})
         for _ in range(BEHIND_PING_LIMIT):
             await exchange.fetch_newer("peer:1", state)
+        await asyncio.sleep(0.1)  # copies are fetched in the background
         return feed, peer.requests
 
     async def test_later_era_is_newer_than_a_higher_number(self) -> None:
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -125,8 +125,8 @@
     "CHANGE_WATCH_FAILED": (
         "Changes reach this instance by other peers, by pings or by its own feed meanwhile."
     ),
-    "CATCH_UP_FAILED": (
-        "A statement of another instance was refused here as not run; other relays run it."
+    "COPY_FAILED": (
+        "Tried again with later pings; the instance follows the store as well if need be."
     ),
     "REISSUE_UNCONFIRMED": (
         "The store was restored and is away again; the newest known configuration stays active."
