Compress copies of tables between instances

Cause: a configuration of many routes repeats its field names in each route, and each change is copied whole.

Change: connections for copies ask for permessage-deflate, which the listener accepts. Pings and statements, which are small, stay as they are, and so do instances of earlier builds.

--- a/src/wigeonpoint/_channel.py
+++ b/src/wigeonpoint/_channel.py
@@ -29,6 +29,7 @@
 )
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+_COMPRESSION = {"compression_level": 1, "mem_level": 5}
 _BASE_HEADERS = {"Content-Type": "application/json"}
 
 Responder = Callable[[str, Any], Awaitable[Any]]
@@ -60,7 +61,12 @@
 
     @classmethod
     async def open(
-        cls, url: str, *, timeout: float, headers: dict[str, str] | None = None
+        cls,
+        url: str,
+        *,
+        timeout: float,
+        headers: dict[str, str] | None = None,
+        compress: bool = False,
     ) -> JsonChannel:
         """Connects to a channel.
 
@@ -68,6 +74,7 @@
             url: `ws://host:port/path`.
             timeout: Seconds to wait for the connection.
             headers: Additional HTTP headers, such as authorisation.
+            compress: Whether to compress messages in both directions, if the server does so too.
 
         Raises:
             NotRun: PEER_UNREACHABLE when no connection could be made, CONNECTION_LIMIT when the
@@ -78,7 +85,12 @@
         )
         try:
             connection = await asyncio.wait_for(
-                websocket_connect(request, max_message_size=MAX_MESSAGE_BYTES), timeout
+                websocket_connect(
+                    request,
+                    max_message_size=MAX_MESSAGE_BYTES,
+                    compression_options=_COMPRESSION if compress else None,
+                ),
+                timeout,
             )
         except Exception as error:
             if getattr(error, "code", None) == 503:
@@ -176,6 +188,10 @@
         """Creates the set that keeps tasks of running requests from being garbage-collected."""
         self._running: set[asyncio.Task[None]] = set()
 
+    def get_compression_options(self) -> dict[str, Any]:
+        """Compresses messages on channels whose client asks for it."""
+        return _COMPRESSION
+
     def check_origin(self, origin: str) -> bool:
         """Accepts any origin, because browsers do not open channels and channels use no cookies."""
         return True
--- a/src/wigeonpoint/connection/_peers.py
+++ b/src/wigeonpoint/connection/_peers.py
@@ -98,12 +98,21 @@
         own_address: Address of this instance; messages to it need no connection.
         dispatcher: Handlers of this instance.
         peer_key: Secret shared by all instances, sent when a channel opens.
+        compress: Whether to compress messages.
     """
 
-    def __init__(self, own_address: str, dispatcher: PeerDispatcher, peer_key: str) -> None:
+    def __init__(
+        self,
+        own_address: str,
+        dispatcher: PeerDispatcher,
+        peer_key: str,
+        *,
+        compress: bool = False,
+    ) -> None:
         self._own_address = own_address
         self._dispatcher = dispatcher
         self._headers = {PEER_KEY_HEADER: peer_key}
+        self._compress = compress
         self._channels: dict[str, JsonChannel] = {}
         self._opening: dict[str, asyncio.Task[JsonChannel]] = {}
         self._adapters: dict[type[Any], TypeAdapter[Any]] = {}
@@ -172,7 +181,10 @@
     async def _open(self, address: str) -> JsonChannel:
         try:
             channel = await JsonChannel.open(
-                f"ws://{address}/peer", timeout=CONNECT_TIMEOUT_S, headers=self._headers
+                f"ws://{address}/peer",
+                timeout=CONNECT_TIMEOUT_S,
+                headers=self._headers,
+                compress=self._compress,
             )
         finally:
             if self._opening.get(address) is asyncio.current_task():
--- a/src/wigeonpoint/platform/_platform.py
+++ b/src/wigeonpoint/platform/_platform.py
@@ -86,9 +86,11 @@
         listener.listen(port, host)
         return listener
 
-    def peer_transport(self, address: str, dispatcher: PeerDispatcher) -> PeerTransport:
+    def peer_transport(
+        self, address: str, dispatcher: PeerDispatcher, *, compress: bool = False
+    ) -> PeerTransport:
         """Creates the transport for messages to other instances."""
-        return PeerChannels(address, dispatcher, NO_PEER_KEY)
+        return PeerChannels(address, dispatcher, NO_PEER_KEY, compress=compress)
 
     def listen_for_peers(self, address: str, dispatcher: PeerDispatcher) -> Listener:
         """Listens for channels from other instances."""
--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -80,8 +80,11 @@
         self._relay_links = RelayLinks(
             platform.peer_transport(settings.peer_address, self._dispatcher)
         )
-        # Another one, as a large copy would delay pings behind it.
-        self._copy_transport = platform.peer_transport(settings.peer_address, self._dispatcher)
+        # Another one, as a large copy would delay pings behind it. A configuration of many routes
+        # repeats its field names, and links may be narrow.
+        self._copy_transport = platform.peer_transport(
+            settings.peer_address, self._dispatcher, compress=True
+        )
         self._sharing = MemberSharing(settings.instance_id, lambda: self.control.instances)
         store_era = StoreEra()
         self.view = PlatformView(
--- a/src/wigeonpoint/process/gateway/_platform.py
+++ b/src/wigeonpoint/process/gateway/_platform.py
@@ -77,7 +77,9 @@
         """Answers the balancer's readiness probes."""
         ...
 
-    def peer_transport(self, address: str, dispatcher: PeerDispatcher) -> PeerTransport:
+    def peer_transport(
+        self, address: str, dispatcher: PeerDispatcher, *, compress: bool = False
+    ) -> PeerTransport:
         """Sends messages to other gateways; those to its own address go to the dispatcher."""
         ...
 
--- a/tests/gateway/_platform.py
+++ b/tests/gateway/_platform.py
@@ -301,7 +301,9 @@
         self.ready = ready
         return _NullListener()
 
-    def peer_transport(self, address: str, dispatcher: PeerDispatcher) -> FakeTransport:
+    def peer_transport(
+        self, address: str, dispatcher: PeerDispatcher, *, compress: bool = False
+    ) -> FakeTransport:
         """Sends over the fake network."""
         return FakeTransport(self._network, address, dispatcher)
 
--- a/tests/test_peer_channels.py
+++ b/tests/test_peer_channels.py
@@ -7,10 +7,14 @@
 from collections.abc import AsyncIterator
 
 import pytest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application
 
 from wigeonpoint.connection import PeerChannels, PeerDispatcher
 from wigeonpoint.errors import NotRun, ResultCode
-from wigeonpoint.process.gateway.control._messages import FetchTable, TableCopy
+from wigeonpoint.platform._peers import PeerHandler
+from wigeonpoint.process.gateway.control._messages import FetchTable, TableCopy, TableRow
 
 SHORT_S = 0.2
 # Less than the timeout of the connection attempt, which is 1 s.
@@ -61,3 +65,39 @@
         with pytest.raises(NotRun) as refusal:
             await asyncio.wait_for(request, SLACK_S)
         assert refusal.value.code is ResultCode.PEER_UNREACHABLE
+
+
+class RecordingHandler(PeerHandler):
+    """Records which extensions of the protocol clients ask for."""
+
+    def open(self, *args: str, **kwargs: str) -> None:
+        """Opens the channel."""
+        super().open(*args, **kwargs)
+        self.settings["extensions"].append(self.request.headers.get("Sec-WebSocket-Extensions", ""))
+
+
+class TestLargeCopies:
+    """Copies of a configuration of many routes."""
+
+    @pytest.mark.parametrize("compress", [False, True])
+    async def test_only_channels_for_copies_are_compressed(self, compress: bool) -> None:
+        """Guards against copies that fill narrow links with repeated field names."""
+        value = ",".join(f'{{"name":"route-{number}","timeoutMs":800}}' for number in range(1500))
+
+        async def answer(message: FetchTable) -> TableCopy:
+            return TableCopy([TableRow("config", value, 1)], 1, 1)
+
+        dispatcher = PeerDispatcher()
+        dispatcher.register(FetchTable, answer)
+        handlers = [("/peer", RecordingHandler, {"dispatcher": dispatcher})]
+        extensions: list[str] = []
+        listener = HTTPServer(Application(handlers, extensions=extensions))
+        sockets = bind_sockets(0, "127.0.0.1")
+        listener.add_sockets(sockets)
+        channels = PeerChannels("127.0.0.1:1", PeerDispatcher(), "", compress=compress)
+        address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        copy = await channels.request(address, FetchTable("op"), TableCopy, timeout=5.0)
+        channels.close()
+        listener.stop()
+        assert copy.rows[0].value == value
+        assert ["permessage-deflate" in one for one in extensions] == [compress]
