--- a/src/wigeonpoint/platform/_http.py
+++ b/src/wigeonpoint/platform/_http.py
@@ -62,8 +62,7 @@
             path: Path with query.
             body: Request body.
             headers: Further headers.
-            timeout: Seconds until the response must have begun to arrive; a short one is complete
-                then.
+            timeout: Seconds until the body must have begun to arrive; each part of it extends this.
 
         Raises:
             StoreUnavailable: No complete response arrived; the request may have taken effect.
--- a/src/wigeonpoint/process/gateway/control/_table_exchange.py
+++ b/src/wigeonpoint/process/gateway/control/_table_exchange.py
@@ -54,7 +54,7 @@
         dispatcher.register(FetchTable, self._answer_fetch)
 
     async def fetch_newer(self, address: str, state: GatewayState) -> None:
-        """Fetches tables of which a peer knows later changes, large ones in the background.
+        """Fetches tables of which a peer knows later changes, most of them in the background.
 
         Raises:
             WigeonpointError: The control table could not be fetched. Without its newest rows, the
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.gateway._cluster import ROUTES, SERVICE, GatewayCluster
+from tests.gateway._cluster import ROUTES, SERVICE, Caller, GatewayCluster
 from tests.gateway._platform import NAMES
 from tests.gateway._relayed_fleet import LIMIT, RelayedFleet, RelayedStatements
 from wigeonpoint.process.gateway._member_sharing import relay_count
@@ -68,14 +68,20 @@
 class TestLimits:
     """Limits that change while something is subject to them."""
 
+    @staticmethod
+    async def open_transaction(cluster: GatewayCluster, *, idle_s: float) -> Caller:
+        """Opens a transaction that has written, under an idle limit."""
+        cluster.configure(ROUTES, idle_s=idle_s)
+        await asyncio.sleep(0.5)
+        caller = await cluster.caller("g-chur", "current")
+        await caller.query("BEGIN")
+        assert (await caller.query("WRITE a x")).served
+        return caller
+
     async def test_longer_idle_limit_holds_for_transactions_that_are_open(self) -> None:
         """Guards against a transaction that is rolled back by the limit of an older version."""
         async with GatewayCluster() as cluster:
-            cluster.configure(ROUTES, idle_s=1.0)
-            await asyncio.sleep(0.5)
-            caller = await cluster.caller("g-chur", "current")
-            await caller.query("BEGIN")
-            assert (await caller.query("WRITE a x")).served
+            caller = await self.open_transaction(cluster, idle_s=1.0)
             await asyncio.sleep(0.5)
             cluster.configure(ROUTES, idle_s=10.0)
             await asyncio.sleep(APPLY_S)
@@ -84,11 +90,7 @@
     async def test_idle_limit_holds_after_it_was_changed(self) -> None:
         """Guards against transactions that stay open for good after a change of the limit."""
         async with GatewayCluster() as cluster:
-            cluster.configure(ROUTES, idle_s=1.0)
-            await asyncio.sleep(0.5)
-            caller = await cluster.caller("g-chur", "current")
-            await caller.query("BEGIN")
-            assert (await caller.query("WRITE a x")).served
+            caller = await self.open_transaction(cluster, idle_s=1.0)
             cluster.configure(ROUTES, idle_s=2.0)
             await asyncio.sleep(2.5)
             assert not (await caller.query("COMMIT")).served
