Log when a member starts to leave, and why its successor does not lead yet

An instance that did nothing about a leaving primary logged nothing, and no line told when it learned of the shutdown. Change: event 310 when an instance learns that a member leaves; event 421, once for each leaving primary and reason, when an instance has not replaced it after a second. The directory remembers since when a member is known to be leaving, by a clock that counts suspensions. Result: no decision changes.

--- a/src/wigeonpoint/_events.py
+++ b/src/wigeonpoint/_events.py
@@ -35,6 +35,7 @@
     INSTANCE_DEREGISTERED = (307, logging.WARNING, "unreachable instance deregistered")
     RELAY_UNAVAILABLE = (308, logging.INFO, "a relay does not answer or refuses; using others")
     RELAY_MESSAGE_LOST = (309, logging.INFO, "a relay was not told that a transaction has ended")
+    MEMBER_LEAVING = (310, logging.INFO, "a member has announced its shutdown")
     DIRECTORY_AVAILABLE = (302, logging.INFO, "the platform's list can be read again")
 
     CONFIGURATION_APPLIED = (200, logging.INFO, "new configuration state is active")
@@ -70,6 +71,7 @@
     MEMBERS_SUSPENDED = (418, logging.INFO, "members accept the new term only")
     HANDOVER_ENDED = (419, logging.INFO, "statements at the leaving primary have ended")
     LEADERSHIP_RESTORED = (420, logging.WARNING, "lost record of a primary is written again")
+    REPLACEMENT_DELAYED = (421, logging.WARNING, "a leaving primary is not replaced yet")
     RETRY_BUDGET_EMPTY = (600, logging.WARNING, "retry budget of the route is exhausted")
     POSITION_LOST = (601, logging.ERROR, "a session requires a position that no log contains")
     COMMIT_UNRESOLVED = (602, logging.WARNING, "the outcome of a commit could not be resolved")
--- a/src/wigeonpoint/process/gateway/_group.py
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -18,7 +18,13 @@
 )
 from wigeonpoint.process.gateway._read_placement import ReadCandidate, choose_read_member
 from wigeonpoint.process.gateway._suspension import Clock, SuspensionWatch
-from wigeonpoint.version.catalogue import Consistency, DatabaseRoute, MemberRecord, Service
+from wigeonpoint.version.catalogue import (
+    Consistency,
+    DatabaseRoute,
+    LeavingMembers,
+    MemberRecord,
+    Service,
+)
 
 PREWARMED_CONNECTIONS = 2
 # Of a member, for one instance. Lost answers occupy some of them until they are given up.
@@ -61,6 +67,7 @@
         service: Returns the active service.
         clock: Gives seconds; it must also count the time for which the machine is suspended.
         sharing: How the instances share the members' connections.
+        leaving: Since when members are known to be leaving.
         superseded: Tells whether an idle connection would be opened in another way now.
         sample_source: Fetches positions of primaries from their relays.
     """
@@ -74,6 +81,7 @@
         service: Callable[[], Service],
         clock: Clock,
         sharing: MemberSharing,
+        leaving: LeavingMembers,
         superseded: Callable[[MemberRecord, MemberConnection], bool],
         sample_source: SampleSource,
     ) -> None:
@@ -83,6 +91,7 @@
         self._get_service = service
         self._suspension = SuspensionWatch(clock)
         self._sharing = sharing
+        self._leaving = leaving
         self._superseded = superseded
         self._sample_source = sample_source
         self._fetching: asyncio.Task[None] | None = None
@@ -128,6 +137,14 @@
         """Pool of a member."""
         return self._pools.get(member_id)
 
+    @property
+    def primary_leaving_s(self) -> float | None:
+        """Seconds since the primary is known to be leaving, None if it is not leaving."""
+        primary = self.primary
+        if primary is None or not primary.record.leaving:
+            return None
+        return self._leaving.known_s(primary.record)
+
     def set_primary(self, member_id: str | None, *, known: bool) -> None:
         """Sets the primary that the group's record names.
 
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -21,6 +21,7 @@
     ActiveCatalogue,
     Catalogue,
     CatalogueVerdict,
+    LeavingMembers,
     MemberDirectory,
     MemberRecord,
     Service,
@@ -78,7 +79,8 @@
             lambda: self.operators.changed,
         )
         self._active = ActiveCatalogue()
-        self._directory = MemberDirectory()
+        self.leaving = LeavingMembers(clock)
+        self._directory = MemberDirectory(self.leaving)
         self._groups: dict[str, Group] = {}
         self._decoded_members: dict[str, tuple[VersionedRow, MemberRecord | None]] = {}
         self._doubtful_version: int | None = None  # of the row whose catalogue is doubtful
@@ -127,6 +129,7 @@
                 service=lambda: self._active_service(name),
                 clock=self._clock,
                 sharing=self._sharing,
+                leaving=self.leaving,
                 superseded=self._connector.superseded,
                 sample_source=self._connector,
             )
@@ -254,7 +257,15 @@
         rows = self.members.rows
         self._decoded_members = {key: self._decode_member(row) for key, row in rows.items()}
         records = [record for _, record in self._decoded_members.values() if record is not None]
-        self._directory.replace(records, now=now, store_stable=self.members.stable)
+        stable = self.members.stable
+        for record in self._directory.replace(records, now=now, store_stable=stable):
+            log_event(
+                Event.MEMBER_LEAVING,
+                member=record.id,
+                group=record.service,
+                store_version=number_of(self.members.changed),
+                store_stable=stable,
+            )
         self._set_groups()
         self._schedule_expiry(now)
         self._signal_loaded()
--- /dev/null
+++ b/src/wigeonpoint/process/gateway/control/_delay_log.py
@@ -0,0 +1,54 @@
+"""Logs why leaving primaries have not been replaced yet."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from wigeonpoint.events import Event, log_event
+from wigeonpoint.process.gateway._group import Group
+
+LOGGED_AFTER_S = 1.0  # most changes of primary are over by then
+
+
+class DelayReason(StrEnum):
+    """Why this instance does not replace a leaving primary now."""
+
+    NO_LEASE = "no valid lease, or not for long enough"
+    OTHER_COORDINATOR = "another instance arranges changes of primary"
+    CLAIMED = "the change has been claimed and is not completed"
+    NO_CANDIDATE = "no other member can be promoted"
+    INSTANCES_MISSING = "waiting for instances that do not answer"
+    RETRY_PAUSE = "the last attempt has failed"
+
+
+class DelayLog:
+    """Logs once for each leaving primary and reason."""
+
+    def __init__(self) -> None:
+        self._logged: dict[str, set[tuple[str, DelayReason]]] = {}  # of each group's last primary
+
+    def note(self, group: Group, reason: DelayReason, *, coordinator: str | None) -> None:
+        """Logs why the leaving primary of a group is not replaced, if it has been leaving for long.
+
+        Args:
+            group: The group.
+            reason: Why this instance does not replace the primary now.
+            coordinator: The instance that arranges changes of primary, None if it is not known.
+        """
+        leaving_s = group.primary_leaving_s
+        primary_id = group.primary_id
+        if leaving_s is None or primary_id is None or leaving_s < LOGGED_AFTER_S:
+            return
+        logged = self._logged.setdefault(group.name, set())
+        if (primary_id, reason) in logged:
+            return
+        self._logged[group.name] = {one for one in logged if one[0] == primary_id}
+        self._logged[group.name].add((primary_id, reason))
+        log_event(
+            Event.REPLACEMENT_DELAYED,
+            group=group.name,
+            primary=primary_id,
+            leaving_ms=int(leaving_s * 1000),
+            reason=str(reason),
+            coordinator=coordinator,
+        )
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -12,6 +12,7 @@
 from wigeonpoint.process.gateway.control._announcement_handler import AnnouncementHandler
 from wigeonpoint.process.gateway.control._claims import Claims
 from wigeonpoint.process.gateway.control._control_state import ControlState
+from wigeonpoint.process.gateway.control._delay_log import DelayLog, DelayReason
 from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._peers import GatewayPeers
 from wigeonpoint.process.gateway.control._policy import (
@@ -76,6 +77,7 @@
         self._retry_at: dict[str, float] = {}
         self._claimed_since: dict[str, tuple[int, float]] = {}
         self._unreachable_since: dict[str, float] = {}
+        self._delays = DelayLog()
         self._check_task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -96,14 +98,20 @@
             await asyncio.sleep(CHECK_INTERVAL_S if coordinator else STANDBY_CHECK_INTERVAL_S)
             if not self._lease_settled():
                 self._unreachable_since.clear()
+                self._note_delays(DelayReason.NO_LEASE)
                 continue
             coordinator = self._peers.is_coordinator
             self._repair.check(coordinator=coordinator)
             if not coordinator:
                 self._unreachable_since.clear()
+                self._note_delays(DelayReason.OTHER_COORDINATOR)
                 continue
             for name, group in self._groups().items():
-                if name not in self._changes and self._may_retry(name):
+                if name in self._changes:
+                    self._note_delay(group, DelayReason.CLAIMED)
+                elif not self._may_retry(name):
+                    self._note_delay(group, DelayReason.RETRY_PAUSE)
+                else:
                     self._check_group(name, group)
             await self._deregister_lost()
 
@@ -122,6 +130,13 @@
                 self._unreachable_since.pop(name, None)
                 await self._control.deregister_instance(name)
 
+    def _note_delays(self, reason: DelayReason) -> None:
+        for group in self._groups().values():
+            self._note_delay(group, reason)
+
+    def _note_delay(self, group: Group, reason: DelayReason) -> None:
+        self._delays.note(group, reason, coordinator=self._peers.coordinator)
+
     def _lease_settled(self) -> bool:
         """Whether the lease has been valid for long enough to decide on recent observations.
 
@@ -144,6 +159,8 @@
         if leadership is not None and leadership.phase is LeadershipPhase.CLAIMED:
             if self._claim_abandoned(name, leadership, reachable):
                 self._start_change(name, group, None)
+            else:
+                self._note_delay(group, DelayReason.CLAIMED)
             return
         view = self._primary_view(group)
         reason = replacement_reason(
@@ -154,7 +171,12 @@
         )
         if reason is not None:
             self._start_change(name, group, reason)
-        elif view.unreachable_s >= AGREED_UNREACHABLE_AFTER_S:
+            return
+        self._note_delay(
+            group,
+            DelayReason.INSTANCES_MISSING if view.replicas else DelayReason.NO_CANDIDATE,
+        )
+        if view.unreachable_s >= AGREED_UNREACHABLE_AFTER_S:
             self._peers.ping_now()
 
     def _primary_view(self, group: Group) -> PrimaryView:
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -153,15 +153,19 @@
         return self._control.lease.reachable(self.watched)
 
     @property
-    def is_coordinator(self) -> bool:
-        """Whether this instance arranges changes of primary and deregisters lost instances."""
+    def coordinator(self) -> str:
+        """The instance that arranges changes of primary and deregisters lost instances."""
         coordinator_record = self._control.records.coordinator_record()
-        coordinator = choose_coordinator(
+        return choose_coordinator(
             own=self._control.name,
             current=coordinator_record.holder if coordinator_record else None,
             reachable=self.reachable,
         )
-        return coordinator == self._control.name
+
+    @property
+    def is_coordinator(self) -> bool:
+        """Whether this instance is the coordinator."""
+        return self.coordinator == self._control.name
 
     def catch_up(self, name: str, changed: int) -> None:
         """Copies the prompt table in the background from a peer that knows a later change of it.
--- a/src/wigeonpoint/version/catalogue/__init__.py
+++ b/src/wigeonpoint/version/catalogue/__init__.py
@@ -21,7 +21,9 @@
     RegisteredInstance,
     next_coordinator,
 )
-from wigeonpoint.version.catalogue._members import EXPIRY_GRACE_S, MemberDirectory, MemberRecord
+from wigeonpoint.version.catalogue._leaving import LeavingMembers
+from wigeonpoint.version.catalogue._members import EXPIRY_GRACE_S, MemberDirectory
+from wigeonpoint.version.catalogue._record import MemberRecord
 
 __all__ = [
     "DEFAULT_CONNECTION_LIMIT",
@@ -37,6 +39,7 @@
     "CoordinatorRecord",
     "Leadership",
     "LeadershipPhase",
+    "LeavingMembers",
     "MemberDirectory",
     "MemberRecord",
     "RegisteredInstance",
--- a/tests/gateway/test_store_restore.py
+++ b/tests/gateway/test_store_restore.py
@@ -15,7 +15,12 @@
 from tests.gateway._platform import NAMES
 from tests.gateway._restore import OUTAGE_S, restore
 from wigeonpoint.services import RowKey
-from wigeonpoint.version.catalogue import EXPIRY_GRACE_S, MemberDirectory, MemberRecord
+from wigeonpoint.version.catalogue import (
+    EXPIRY_GRACE_S,
+    LeavingMembers,
+    MemberDirectory,
+    MemberRecord,
+)
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
@@ -258,7 +263,7 @@
 
     async def test_member_that_starts_again_is_used(self) -> None:
         """Guards against a member that stays leaving after a restart under its id."""
-        directory = MemberDirectory()
+        directory = MemberDirectory(LeavingMembers(asyncio.get_running_loop().time))
         member = MemberRecord("m", SERVICE, "m:1", "chur", leaving=True, born_ms=1)
         directory.replace([member], now=0.0, store_stable=True)
         directory.replace([replace(member, leaving=False)], now=1.0, store_stable=True)
--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -115,6 +115,13 @@
     "CATALOGUE_APPLIED": "A new version of routes and services is active on this instance.",
     "ROW_UNREADABLE": "A row, route or entry cannot be read; the others stay in use.",
     "MEMBERS_CHANGED": "The member's entry was deleted or has expired; it gets no more statements.",
+    "MEMBER_LEAVING": (
+        "This instance has learned it just now; with `store_stable` false, it may be longer ago."
+    ),
+    "REPLACEMENT_DELAYED": (
+        "`reason` says what this instance waits for; each reason is logged once. "
+        "Look at the log of `coordinator` if that is another instance."
+    ),
     "LEADERSHIP_RESTORED": (
         "The store was restored from a copy that is older than the group's change of primary."
     ),
