Let another instance arrange changes of primary if the coordinator is without the store

What callers saw: statements at a member that may have stopped, over seven seconds after it had said that it leaves (DRAIN), while everything was served. Cause: the coordinator stays for as long as its peers reach it. One that the store alone does not answer cannot claim a change, and the others leave the change to it. Its first failed claim was logged 4.9 s after the start of the change, as a feed notices an outage only when a waiting call ends. Change: instances tell their peers whether the store answers them; one without the store is coordinator only if all are without it. A failed claim or poll has the feed find out at once whether the store still answers. An older peer does not send the field and counts as before.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -256,6 +256,7 @@
             in_contact=self.peers.reachable,
             vouched=self.quorum_leases.shared(),
             follows_store=self.peers.has_store_contact,
+            without_store=self.control.without_store,
         )
 
     def _close_sessions_while_isolated(self) -> None:
--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -73,7 +73,8 @@
         self._changed_event = asyncio.Event()
         self._loaded = False
         self._unapplied = False  # whether an error kept a change of the copy from being applied
-        self._reachable = True
+        self._unreachable_since: float | None = None
+        self._doubted = False  # whether another call of the store has failed
         self._recovered_at = float("-inf")
         self._retry_pause_s = INITIAL_RETRY_PAUSE_S
         self._reread_pause_s = 0.0
@@ -114,13 +115,20 @@
     @property
     def reachable(self) -> bool:
         """Whether the last call was answered."""
-        return self._reachable
+        return self._unreachable_since is None
+
+    @property
+    def unreachable_s(self) -> float:
+        """Seconds for which the store has not answered, 0 while it answers."""
+        if self._unreachable_since is None:
+            return 0.0
+        return asyncio.get_running_loop().time() - self._unreachable_since
 
     @property
     def stable(self) -> bool:
         """Whether the store has answered for a while without a failure or a restore."""
         now = asyncio.get_running_loop().time()
-        return self._reachable and now - self._recovered_at > STABLE_AFTER_S
+        return self.reachable and now - self._recovered_at > STABLE_AFTER_S
 
     def start(self) -> None:
         """Starts following the table."""
@@ -131,6 +139,17 @@
         if self._task is not None:
             self._task.cancel()
 
+    def check_store(self) -> None:
+        """Finds out at once whether the store answers, as another call of it has failed.
+
+        A call that waits for changes would tell only at its end.
+        """
+        if not self.reachable or self._doubted:
+            return
+        self._doubted = True
+        if self._waiting_in_era is not None:
+            self._restart()
+
     def lacks(self, changed: int) -> bool:
         """Whether the copy lacks a change that another instance knows, or all of its era.
 
@@ -189,21 +208,28 @@
     async def poll(self) -> None:
         """Asks the store for changes without waiting for new ones.
 
+        A failure has the feed find out whether the store still answers.
+
         Raises:
             StoreUnavailable: There was no usable answer, or none that completes the copy.
         """
-        for _ in range(POLL_ATTEMPTS):
-            try:
-                self._apply_changes(await self._fetch_changes(wait_s=0.0))
-            except HistoryLost:
-                await self._read_table()
-            else:
-                return
+        try:
+            for _ in range(POLL_ATTEMPTS):
+                try:
+                    self._apply_changes(await self._fetch_changes(wait_s=0.0))
+                except HistoryLost:
+                    await self._read_table()
+                else:
+                    return
+        except StoreUnavailable:
+            self.check_store()
+            raise
         raise StoreUnavailable(f"the store has no changes after its own copy of {self._table}")
 
     async def _follow(self) -> None:
         while True:
-            if self._loaded and not self._follows():
+            settled = self._loaded and self.reachable and not self._doubted
+            if settled and not self._follows():
                 await asyncio.sleep(FOLLOW_CHECK_INTERVAL_S)
                 continue
             if self._unapplied:
@@ -223,13 +249,14 @@
         self._waiting_in_era = self.era
         try:
             # After a failure, an answer at once tells that the store is back.
-            wait_s = self._wait_s if self._reachable else 0.0
+            wait_s = self._wait_s if self.reachable and not self._doubted else 0.0
             changes = await self._fetch_changes(wait_s=wait_s)
         except HistoryLost:
             log_event(Event.HISTORY_LOST, table=self._table, **version_fields(self._version))
             changes = None
         finally:
-            self._waiting_in_era = None
+            if asyncio.current_task() is self._task:  # a call that replaces this one waits already
+                self._waiting_in_era = None
         if changes is None:
             await self._reread_table()
             return
@@ -240,7 +267,11 @@
 
     def _restart_call(self, era: int) -> None:
         """Ends a call that waits for changes of an earlier era, and begins again."""
-        if self._task is not None and self._waiting_in_era not in (None, era):
+        if self._waiting_in_era not in (None, era):
+            self._restart()
+
+    def _restart(self) -> None:
+        if self._task is not None:
             self._task.cancel()
             self.start()
 
@@ -315,16 +346,18 @@
         self._unapplied = False
 
     async def _handle_failure(self, error: StoreUnavailable) -> None:
-        if self._reachable:
+        if self.reachable:
             log_event(Event.STORE_UNREACHABLE, table=self._table, reason=str(error))
-        self._reachable = False
+            self._unreachable_since = asyncio.get_running_loop().time()
+        self._doubted = False
         await asyncio.sleep(self._retry_pause_s * self._random.uniform(0.7, 1.3))
         self._retry_pause_s = min(self._retry_pause_s * 2, MAX_RETRY_PAUSE_S)
 
     def _handle_answer(self) -> None:
-        if not self._reachable:
+        if not self.reachable:
             log_event(Event.STORE_REACHABLE, table=self._table, **version_fields(self._version))
             self._recovered_at = asyncio.get_running_loop().time()
             self._notify_change()
-        self._reachable = True
+        self._unreachable_since = None
+        self._doubted = False
         self._retry_pause_s = INITIAL_RETRY_PAUSE_S
--- a/src/wigeonpoint/process/gateway/control/_claims.py
+++ b/src/wigeonpoint/process/gateway/control/_claims.py
@@ -178,6 +178,7 @@
                     return
                 raise
             except StoreUnavailable:
+                self._control.feed.check_store()
                 if attempt == STORE_ATTEMPTS - 1:
                     raise
                 with suppress(StoreUnavailable):
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -36,6 +36,8 @@
 # Members are asked to confirm primaries when the lease is about to expire.
 QUORUM_LEASES_AFTER_S = 0.8 * LEASE_DURATION_S
 LEASE_WATCH_INTERVAL_S = 0.05
+# A single failure of the store does not move the coordinator to another instance.
+WITHOUT_STORE_AFTER_S = 0.5
 MAX_LOGGED_AGE_S = 1000.0  # a lease that was never renewed is infinitely old
 
 
@@ -165,6 +167,11 @@
             return QUORUM_LEASES_AFTER_S
         return max(QUORUM_LEASES_AFTER_S - self.lease.age_s(self.peers), 0.0)
 
+    @property
+    def without_store(self) -> bool:
+        """Whether the store does not answer this instance, so that it cannot claim changes."""
+        return self.feed.unreachable_s >= WITHOUT_STORE_AFTER_S
+
     @property
     def isolated(self) -> bool:
         """Whether neither the store nor any instance in another data centre can be reached."""
--- a/src/wigeonpoint/process/gateway/control/_messages.py
+++ b/src/wigeonpoint/process/gateway/control/_messages.py
@@ -69,6 +69,8 @@
         vouched: Primaries with a valid quorum lease, by group.
         follows_store: Whether it follows the store's tables itself and the store answers it.
         eras: Eras of the versions in `changed`.
+        without_store: Whether the store does not answer it, so that it cannot claim changes of
+            primary.
     """
 
     name: str
@@ -81,6 +83,7 @@
     vouched: dict[str, ConfirmedPrimary] = field(default_factory=dict)
     follows_store: bool = False
     eras: dict[str, int] = field(default_factory=dict)
+    without_store: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -156,10 +156,12 @@
     def coordinator(self) -> str:
         """The instance that arranges changes of primary and deregisters lost instances."""
         coordinator_record = self._control.records.coordinator_record()
+        reachable = self.reachable
         return choose_coordinator(
             own=self._control.name,
             current=coordinator_record.holder if coordinator_record else None,
-            reachable=self.reachable,
+            reachable=reachable,
+            without_store=self._without_store(reachable),
         )
 
     @property
@@ -167,6 +169,14 @@
         """Whether this instance is the coordinator."""
         return self.coordinator == self._control.name
 
+    def _without_store(self, reachable: list[str]) -> set[str]:
+        """The instances among the reachable ones and this one that the store does not answer."""
+        states = {name: self.state(name) for name in reachable}
+        names = {
+            name for name, state in states.items() if state is not None and state.without_store
+        }
+        return names | {self._control.name} if self._control.without_store else names
+
     def catch_up(self, name: str, changed: int) -> None:
         """Copies the prompt table in the background from a peer that knows a later change of it.
 
--- a/src/wigeonpoint/process/gateway/control/_policy.py
+++ b/src/wigeonpoint/process/gateway/control/_policy.py
@@ -47,18 +47,27 @@
     contradicted: bool = False
 
 
-def choose_coordinator(*, own: str, current: str | None, reachable: Collection[str]) -> str:
+def choose_coordinator(
+    *,
+    own: str,
+    current: str | None,
+    reachable: Collection[str],
+    without_store: Collection[str] = (),
+) -> str:
     """Chooses the instance that arranges changes of primary.
 
     The coordinator stays while it can be reached, because a change of coordinator has to wait until
-    the former one can no longer act.
+    the former one can no longer act. One that does not reach the store cannot claim a change; it is
+    chosen only if no other instance reaches the store either.
 
     Args:
         own: Name of this instance.
         current: The present coordinator, None if there is none.
         reachable: Registered instances that answer.
+        without_store: Those of them, and this one, that the store does not answer.
     """
-    candidates = {own, *reachable}
+    answering = {own, *reachable}
+    candidates = answering - set(without_store) or answering
     if current is not None and current in candidates:
         return current
     return min(candidates)
--- a/tests/gateway/test_policy.py
+++ b/tests/gateway/test_policy.py
@@ -143,6 +143,20 @@
         }
         assert len(chosen) == 1
 
+    def test_coordinator_without_store_is_followed_by_one_that_has_it(self) -> None:
+        """Guards against a coordinator whose claims all fail."""
+        chosen = choose_coordinator(
+            own="b", current="a", reachable=["a", "c"], without_store=["a", "b"]
+        )
+        assert chosen == "c"
+
+    def test_coordinator_stays_if_no_instance_reaches_the_store(self) -> None:
+        """Guards against a coordinator that moves during an outage of the whole store."""
+        chosen = choose_coordinator(
+            own="b", current="c", reachable=["a", "c"], without_store=["a", "b", "c"]
+        )
+        assert chosen == "c"
+
 
 class TestLease:
     """How long a lease is valid, and what renews it."""
--- a/tests/gateway/test_table_feed.py
+++ b/tests/gateway/test_table_feed.py
@@ -75,3 +75,38 @@
         feed.adopt(RowsRead([], 12), 12)
         feed.apply(VersionedRow("t", "deleted", b"", 5))
         assert not feed.rows
+
+
+class TurningAwayStore(LaggingStore):
+    """A store that answers waiting calls at their end, and may turn new calls away meanwhile."""
+
+    def __init__(self) -> None:
+        super().__init__(0)
+        self.turns_away = False
+
+    async def changes(self, table: str, *, after: int, wait_s: float) -> RowsRead:
+        """Has no changes; a call that has begun is answered in any case."""
+        if self.turns_away:
+            raise StoreUnavailable("turned away")
+        await asyncio.sleep(wait_s)
+        return RowsRead([], after)
+
+
+class TestReachability:
+    """Whether the store answers this instance."""
+
+    async def test_failed_poll_tells_of_an_outage_while_a_call_waits(self) -> None:
+        """Guards against an instance that counts as reaching the store for as long as a call waits."""
+        store = TurningAwayStore()
+        feed = TableFeed(store, "t", lambda: None)
+        feed.start()
+        await asyncio.sleep(0.1)
+        store.turns_away = True
+        with pytest.raises(StoreUnavailable):
+            await feed.poll()
+        await asyncio.sleep(0.6)
+        assert feed.unreachable_s >= 0.5
+        store.turns_away = False
+        await asyncio.sleep(0.6)
+        assert feed.reachable
+        feed.close()
