Give a leaving member no new statements once it may have stopped

What callers saw: statements at a member over seven seconds after it had said that it leaves (DRAIN). Cause: nothing in a statement's path knew for how long the member had been leaving. Only a finished change of primary ended its use, so whatever delayed a change broke the promise. After nine tenths of the time for which it goes on serving, its pools grant no connections to new statements and transactions, at this instance and at relays; waiting statements are refused as not run, at once and with a time to retry. Open transactions go on.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -95,6 +95,7 @@
             own=settings.instance_id,
             clock=clock,
             configuration_s=settings.configuration_s,
+            leaving_s=settings.leaving_s,
             store_era=store_era,
             follows_store=lambda: self.peers.follows_store,
             random_source=random_source,
--- a/src/wigeonpoint/process/gateway/_group.py
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -31,6 +31,9 @@
 STATEMENTS_PER_SLOT = 3
 # Samples are taken as older by this, because the read still has to travel to the replica.
 SAMPLE_AGE_MARGIN_S = 0.1
+# Of the time for which a leaving member goes on serving. The rest covers statements on their way
+# and the time until this instance learned of the shutdown.
+LEAVING_USE_SHARE = 0.9
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,6 +71,7 @@
         clock: Gives seconds; it must also count the time for which the machine is suspended.
         sharing: How the instances share the members' connections.
         leaving: Since when members are known to be leaving.
+        leaving_s: Seconds for which a leaving member goes on serving.
         superseded: Tells whether an idle connection would be opened in another way now.
         sample_source: Fetches positions of primaries from their relays.
     """
@@ -82,6 +86,7 @@
         clock: Clock,
         sharing: MemberSharing,
         leaving: LeavingMembers,
+        leaving_s: float,
         superseded: Callable[[MemberRecord, MemberConnection], bool],
         sample_source: SampleSource,
     ) -> None:
@@ -92,6 +97,7 @@
         self._suspension = SuspensionWatch(clock)
         self._sharing = sharing
         self._leaving = leaving
+        self._leaving_s = leaving_s
         self._superseded = superseded
         self._sample_source = sample_source
         self._fetching: asyncio.Task[None] | None = None
@@ -145,6 +151,11 @@
             return None
         return self._leaving.known_s(primary.record)
 
+    def takes_new(self, record: MemberRecord) -> bool:
+        """Whether a member may get new statements and transactions."""
+        known_s = self._leaving.known_s(record) if record.leaving else None
+        return known_s is None or known_s < LEAVING_USE_SHARE * self._leaving_s
+
     def set_primary(self, member_id: str | None, *, known: bool) -> None:
         """Sets the primary that the group's record names.
 
@@ -305,9 +316,14 @@
             share=self._connection_share,
             limit=lambda: self.service.connection_limit,
             running=lambda: self._running_limit(record),
+            takes_new=lambda: self._member_takes_new(record.id),
             superseded=lambda connection: self._superseded(record, connection),
         )
 
+    def _member_takes_new(self, member_id: str) -> bool:
+        pool = self._pools.get(member_id)
+        return pool is not None and self.takes_new(pool.record)
+
     def _running_limit(self, record: MemberRecord) -> int:
         """Statements that this instance may run at a member; relays limit what they pass on."""
         if self._sharing.relayed(self.service.connection_limit):
@@ -331,7 +347,7 @@
             primary=primary,
             local=record.data_centre == self._data_centre,
             proven=primary or self._has_probably_applied(record.id, requirement, now),
-            available=pool.health.available,
+            available=pool.health.available and pool.takes_new,
             queued=pool.in_use + pool.waiting,
             slots=record.slots,
             latency_s=pool.latency.mean_s,
--- a/src/wigeonpoint/process/gateway/_member_pool.py
+++ b/src/wigeonpoint/process/gateway/_member_pool.py
@@ -32,6 +32,7 @@
 MIN_LATE_S = 0.04  # an answer is late only after this, however fast the member usually is
 MIN_OVERDUE_S = 0.1  # an answer is overdue only after this long, however fast the member usually is
 MIN_RETRY_MS = 20
+LEAVING_RETRY_MS = 300  # a change of primary that is under way takes about as long
 ROLLBACK_TIMEOUT_S = 0.5
 UNLIMITED_STATEMENTS = 1_000_000
 HOLD_WEIGHT = 0.1  # of the newest value in the smoothed time for which a connection is held
@@ -50,6 +51,7 @@
         share: Returns this instance's equal share of the limit.
         limit: Returns the member's connection limit.
         running: Returns the number of statements that may run at the same time.
+        takes_new: Tells whether the member may get new statements and transactions.
         superseded: Tells whether an idle connection should be closed because it would be opened in
             another way now.
     """
@@ -62,6 +64,7 @@
         share: Callable[[], int],
         limit: Callable[[], int],
         running: Callable[[], int] = lambda: UNLIMITED_STATEMENTS,
+        takes_new: Callable[[], bool] = lambda: True,
         superseded: Callable[[MemberConnection], bool] = lambda connection: False,
     ) -> None:
         self._record = record
@@ -69,6 +72,7 @@
         self._quota = ConnectionQuota(share=share, limit=limit)
         self._connections = ConnectionSet(superseded)
         self._statement_limit = StatementLimit(running)
+        self._takes_new = takes_new
         self._opening: set[asyncio.Task[None]] = set()
         self._schedule = RankedSchedule()
         self._granted: dict[asyncio.Future[None], PooledConnection] = {}
@@ -85,6 +89,11 @@
         """The member."""
         return self._record
 
+    @property
+    def takes_new(self) -> bool:
+        """Whether the member may get new statements and transactions; open ones go on."""
+        return self._takes_new()
+
     @property
     def in_use(self) -> int:
         """Number of connections granted to statements or transactions."""
@@ -118,10 +127,13 @@
             session: Session number; a connection that last served this session is preferred.
 
         Raises:
-            NotRun: QUEUE_FULL, DEADLINE_UNREACHABLE or BACKEND_UNREACHABLE; nothing was sent.
+            NotRun: QUEUE_FULL, DEADLINE_UNREACHABLE, BACKEND_UNREACHABLE or BACKEND_LEAVING;
+                nothing was sent.
         """
         if self._closed:
             raise self._unreachable_error()
+        if not self.takes_new:
+            raise self._leaving_error()
         if not self._schedule and self._may_run():
             connection = self._connections.take(session)
             if connection is not None:
@@ -250,6 +262,8 @@
         return self._granted.pop(entry.granted)
 
     def _grant_idle(self) -> None:
+        if self._schedule and not self.takes_new:
+            self._fail_waiting(self._leaving_error())
         while self._schedule and self._may_run():
             connection = self._connections.take(None)
             if connection is None:
@@ -385,6 +399,13 @@
             retry_after_ms=max(int(wait_s * 1000), MIN_RETRY_MS),
         )
 
+    def _leaving_error(self) -> NotRun:
+        return NotRun(
+            ResultCode.BACKEND_LEAVING,
+            f"member {self._record.id} is leaving and takes no new statements",
+            retry_after_ms=LEAVING_RETRY_MS,
+        )
+
     def _unreachable_error(self) -> NotRun:
         return NotRun(
             ResultCode.BACKEND_UNREACHABLE,
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -47,6 +47,7 @@
         own: Name of this instance.
         clock: Gives seconds; it must also count the time for which the machine is suspended.
         configuration_s: Seconds within which a change of the configuration must be active.
+        leaving_s: Seconds for which a leaving member goes on serving.
         store_era: The era that the feeds of this instance follow together.
         follows_store: Tells whether to follow the store, not only the copies of other instances.
         random_source: Source of the jitter of calls to the store.
@@ -62,6 +63,7 @@
         own: str,
         clock: Clock,
         configuration_s: float,
+        leaving_s: float,
         store_era: StoreEra,
         follows_store: Callable[[], bool],
         random_source: random.Random,
@@ -80,6 +82,7 @@
         )
         self._active = ActiveCatalogue()
         self.leaving = LeavingMembers(clock)
+        self._leaving_s = leaving_s
         self._directory = MemberDirectory(self.leaving)
         self._groups: dict[str, Group] = {}
         self._decoded_members: dict[str, tuple[VersionedRow, MemberRecord | None]] = {}
@@ -130,6 +133,7 @@
                 clock=self._clock,
                 sharing=self._sharing,
                 leaving=self.leaving,
+                leaving_s=self._leaving_s,
                 superseded=self._connector.superseded,
                 sample_source=self._connector,
             )
--- a/src/wigeonpoint/process/gateway/_replies.py
+++ b/src/wigeonpoint/process/gateway/_replies.py
@@ -8,7 +8,12 @@
 
 BUSY_RETRY_MS = 50
 _UNAVAILABLE = frozenset(
-    {ResultCode.BACKEND_UNREACHABLE, ResultCode.NO_PRIMARY, ResultCode.CONNECTION_LIMIT}
+    {
+        ResultCode.BACKEND_UNREACHABLE,
+        ResultCode.BACKEND_LEAVING,
+        ResultCode.NO_PRIMARY,
+        ResultCode.CONNECTION_LIMIT,
+    }
 )
 
 
--- a/src/wigeonpoint/process/gateway/_statement_router.py
+++ b/src/wigeonpoint/process/gateway/_statement_router.py
@@ -90,16 +90,19 @@
         )
         while True:
             pool = context.group.primary
-            usable = pool is not None and (pool.health.available or pool.health.may_connect)
+            reached = pool is not None and (pool.health.available or pool.health.may_connect)
+            usable = pool is not None and reached and pool.takes_new
             if pool is not None and usable and self.may_send(context, pool):
                 return pool
             if pool is not None and not pool.health.available:
                 pool.probe()
             remaining = give_up_at - loop.time()
             if remaining < MIN_WAIT_S:
+                leaving = pool is not None and not pool.takes_new
                 raise NotRun(
                     ResultCode.NO_PRIMARY,
-                    f"group {context.group.name} has no primary that may be used",
+                    f"group {context.group.name} has no primary that may be used"
+                    + (": it is leaving and takes no new statements" if leaving else ""),
                     retry_after_ms=int(context.route.target_s * 1000),
                 )
             await context.group.wait_for_change(min(remaining, PRIMARY_CHECK_INTERVAL_S))
--- a/src/wigeonpoint/process/gateway/relay/_pools.py
+++ b/src/wigeonpoint/process/gateway/relay/_pools.py
@@ -64,6 +64,7 @@
             share=lambda: self._sharing.relay_share(group.service.connection_limit),
             limit=lambda: group.service.connection_limit,
             running=lambda: known.record.slots,
+            takes_new=lambda: self._takes_new(group, member_id),
         )
         return pool
 
@@ -95,6 +96,11 @@
         for member_id in list(self._pools):
             self._retire(member_id)
 
+    @staticmethod
+    def _takes_new(group: Group, member_id: str) -> bool:
+        known = group.pool(member_id)
+        return known is not None and known.takes_new
+
     def _relays_for(self, group: Group, record: MemberRecord) -> bool:
         limit = group.service.connection_limit
         if record.leaving or not self._sharing.relayed(limit):
--- a/tests/gateway/_cluster.py
+++ b/tests/gateway/_cluster.py
@@ -33,6 +33,7 @@
 from wigeonpoint.platform._line_protocol import parse_statement
 from wigeonpoint.process.gateway import Gateway, GatewaySettings
 from wigeonpoint.request.session import Reply, TransactionState
+from wigeonpoint.services import VersionedRow, make_version
 
 DATA_CENTRES = ("chur", "stgallen", "sargans")
 SERVICE = "signplan"
@@ -263,6 +264,12 @@
         """Has a member announce its shutdown."""
         member.record = replace(member.record, leaving=True)
 
+    def leaving_row(self, member: ModelMember) -> VersionedRow:
+        """The row by which a member announces its shutdown, for a feed that the store cuts off."""
+        record = replace(member.record, leaving=True, role=member.role)
+        version = make_version(self.store.era, self.store.version + 1)
+        return VersionedRow(NAMES.members, record.id, encode_member(record), version)
+
     async def write_until_served(
         self, caller: Caller, text: str, *, within_s: float
     ) -> tuple[StatementResult, float]:
--- a/tests/gateway/test_leaving_primary.py
+++ b/tests/gateway/test_leaving_primary.py
@@ -8,7 +8,9 @@
 import pytest
 
 from tests.gateway._cluster import SERVICE, Caller, GatewayCluster
+from tests.gateway._relayed_fleet import RelayedFleet
 from wigeonpoint.events import Event
+from wigeonpoint.request.session import Refusal
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
@@ -54,6 +56,12 @@
             self.refused += 1
 
 
+def stop_replicas(cluster: GatewayCluster) -> None:
+    """Stops the replicas, so that no member can be promoted."""
+    for member in cluster.group.members.values():
+        member.running = member is cluster.group.leader()
+
+
 class TestDelayedChange:
     """Changes of a leaving primary that something delays."""
 
@@ -68,6 +76,58 @@
             assert cluster.group.promotions == 1
 
 
+class TestBound:
+    """Statements at a leaving primary whose successor cannot be promoted in time."""
+
+    async def test_primary_without_successor_gets_nothing_after_its_time(self) -> None:
+        """Guards against a change that something delays and that nothing else bounds."""
+        async with GatewayCluster() as cluster:
+            stop_replicas(cluster)
+            writer = Writer(cluster)
+            await writer.write_while_leaving("stgallen", "sargans")
+            assert writer.last_run_s < LEAVING_S
+
+    async def test_refusals_after_its_time_come_at_once_and_say_not_run(self) -> None:
+        """Guards against callers that wait for a primary that nobody may use."""
+        async with GatewayCluster() as cluster:
+            cluster.store.down = True
+            member = cluster.group.leader()
+            for node in cluster.nodes.values():
+                node.gateway.view.members.apply(cluster.leaving_row(member))
+            callers = [await cluster.caller("g-chur", name) for name in ("current", "aged")]
+            await asyncio.sleep(LEAVING_S)
+            runs = len(member.runs)
+            for caller in callers:
+                result = await caller.query("WRITE a 1")
+                assert result.reply.refusal is Refusal.UNAVAILABLE
+                assert result.seconds < 0.05
+            assert len(member.runs) == runs
+
+    async def test_open_transaction_goes_on_after_its_time(self) -> None:
+        """Guards against transactions that are broken off though the member still serves them."""
+        async with GatewayCluster() as cluster:
+            cluster.store.down = True
+            member = cluster.group.leader()
+            for node in cluster.nodes.values():
+                node.gateway.view.members.apply(cluster.leaving_row(member))
+            caller = await cluster.caller("g-chur", "current")
+            for text in ("BEGIN", "WRITE a 1"):
+                assert (await caller.query(text)).served
+            for _ in range(8):
+                await asyncio.sleep(1.0)
+                assert (await caller.query("READ a")).served
+            assert (await caller.query("COMMIT")).served
+
+    async def test_relays_give_a_leaving_primary_nothing_after_its_time(self) -> None:
+        """Guards against relays that pass on what the asking instance may not send itself."""
+        async with RelayedFleet() as fleet:
+            stop_replicas(fleet)
+            writer = Writer(fleet)
+            await writer.write_while_leaving("stgallen", "sargans")
+            assert writer.served
+            assert writer.last_run_s < LEAVING_S
+
+
 class TestLogs:
     """What the logs tell of leaving members."""
 
--- a/tests/gateway/test_table_feed.py
+++ b/tests/gateway/test_table_feed.py
@@ -96,7 +96,7 @@
     """Whether the store answers this instance."""
 
     async def test_failed_poll_tells_of_an_outage_while_a_call_waits(self) -> None:
-        """Guards against an instance that counts as reaching the store for as long as a call waits."""
+        """Guards against an outage that is noticed only when a waiting call ends."""
         store = TurningAwayStore()
         feed = TableFeed(store, "t", lambda: None)
         feed.start()
