Count a member's leaving time from when the first instance learned of it

Cause: each coordinator counted from when it had first checked the group itself, and each instance from when it learned of the shutdown. One that starts, or was cut off at that moment, began anew. Change: answers to pings carry the leaving members and since when the sender knows of each; an instance takes over an earlier time. A peer of an earlier build sends none and ignores the field.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -215,6 +215,7 @@
             on_regained=self.view.retry_suspects,
             on_unreachable=self.view.probe_primary,
             on_confirmed_primaries=self.quorum_leases.adopt,
+            on_leaving_members=self.view.adopt_leaving,
         )
         peers.register(self._dispatcher)
         return peers
@@ -258,6 +259,7 @@
             vouched=self.quorum_leases.shared(),
             follows_store=self.peers.has_store_contact,
             without_store=self.control.without_store,
+            leaving_members=self.view.leaving_members(),
         )
 
     def _close_sessions_while_isolated(self) -> None:
--- a/src/wigeonpoint/process/gateway/_platform_view.py
+++ b/src/wigeonpoint/process/gateway/_platform_view.py
@@ -21,6 +21,7 @@
     ActiveCatalogue,
     Catalogue,
     CatalogueVerdict,
+    LeavingMember,
     LeavingMembers,
     MemberDirectory,
     MemberRecord,
@@ -81,9 +82,10 @@
             lambda: self.operators.changed,
         )
         self._active = ActiveCatalogue()
-        self.leaving = LeavingMembers(clock)
+        self._leaving = LeavingMembers(clock)
+        self._leaving_records: list[MemberRecord] = []
         self._leaving_s = leaving_s
-        self._directory = MemberDirectory(self.leaving)
+        self._directory = MemberDirectory(self._leaving)
         self._groups: dict[str, Group] = {}
         self._decoded_members: dict[str, tuple[VersionedRow, MemberRecord | None]] = {}
         self._doubtful_version: int | None = None  # of the row whose catalogue is doubtful
@@ -132,7 +134,7 @@
                 service=lambda: self._active_service(name),
                 clock=self._clock,
                 sharing=self._sharing,
-                leaving=self.leaving,
+                leaving=self._leaving,
                 leaving_s=self._leaving_s,
                 superseded=self._connector.superseded,
                 sample_source=self._connector,
@@ -152,6 +154,19 @@
             await asyncio.wait_for(self._loaded_event.wait(), timeout)
         return self.loaded
 
+    def leaving_members(self) -> list[LeavingMember]:
+        """The listed members that are leaving, for peers to adopt."""
+        return self._leaving.describe(self._leaving_records)
+
+    def adopt_leaving(self, members: list[LeavingMember], asked_at: float) -> None:
+        """Adopts since when a peer knows that members are leaving.
+
+        Args:
+            members: Leaving members that the peer knows.
+            asked_at: Time in seconds, by the clock of leases, at which the peer was asked.
+        """
+        self._leaving.adopt(members, asked_at=asked_at)
+
     def probe_data_centre(self, data_centre: str) -> None:
         """Probes the members of a data centre that may have become unreachable."""
         for group in self._groups.values():
@@ -285,7 +300,9 @@
         return row, self._platform.decode_member(row)
 
     def _set_groups(self) -> None:
-        for name in {record.service for record in self._directory.records.values()}:
+        records = self._directory.records.values()
+        self._leaving_records = [record for record in records if record.leaving]
+        for name in {record.service for record in records}:
             self.group(name)
         for name, group in self._groups.items():
             group.set_members(self._directory.of_service(name))
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -8,7 +8,6 @@
 from wigeonpoint.events import Event, log_event
 from wigeonpoint.process.gateway._background import start_loop
 from wigeonpoint.process.gateway._group import Group
-from wigeonpoint.process.gateway._member_pool import MemberPool
 from wigeonpoint.process.gateway.control._announcement_handler import AnnouncementHandler
 from wigeonpoint.process.gateway.control._claims import Claims
 from wigeonpoint.process.gateway.control._control_state import ControlState
@@ -72,7 +71,6 @@
         )
         self._repair = RecordRepair(control, claims)
         self._leaving_primary_wait_s = leaving_primary_wait_s
-        self._leaving_since: dict[str, float] = {}
         self._changes: dict[str, asyncio.Task[None]] = {}
         self._retry_at: dict[str, float] = {}
         self._claimed_since: dict[str, tuple[int, float]] = {}
@@ -190,19 +188,12 @@
         return PrimaryView(
             # A group that names no primary has members that have only just started.
             listed=pool is not None or primary_id is None,
-            leaving_s=self._leaving_s(pool),
+            leaving_s=group.primary_leaving_s,
             unreachable_s=self._control.unreachable_s(pool),
             replicas=len(replicas),
             contradicted=self._control.is_contradicted(group.name, primary_id or ""),
         )
 
-    def _leaving_s(self, pool: MemberPool | None) -> float | None:
-        """Seconds since a member was first seen to be leaving, None if it is not leaving."""
-        if pool is None or not pool.record.leaving:
-            return None
-        now = asyncio.get_running_loop().time()
-        return now - self._leaving_since.setdefault(pool.record.id, now)
-
     def _claim_abandoned(self, name: str, leadership: Leadership, reachable: list[str]) -> bool:
         """Whether the claimant of an unfinished claim no longer works on it."""
         now = asyncio.get_running_loop().time()
--- a/src/wigeonpoint/process/gateway/control/_messages.py
+++ b/src/wigeonpoint/process/gateway/control/_messages.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from wigeonpoint.version.catalogue import Leadership
+from wigeonpoint.version.catalogue import Leadership, LeavingMember
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +71,7 @@
         eras: Eras of the versions in `changed`.
         without_store: Whether the store does not answer it, so that it cannot claim changes of
             primary.
+        leaving_members: The leaving members that it knows.
     """
 
     name: str
@@ -84,6 +85,7 @@
     follows_store: bool = False
     eras: dict[str, int] = field(default_factory=dict)
     without_store: bool = False
+    leaving_members: list[LeavingMember] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -31,7 +31,7 @@
     store_reader,
     watch_set,
 )
-from wigeonpoint.version.catalogue import RegisteredInstance
+from wigeonpoint.version.catalogue import LeavingMember, RegisteredInstance
 
 PING_INTERVAL_S = 0.15
 # In fleets in which not all instances watch each other: by the coordinator, which decides on what
@@ -70,6 +70,7 @@
         on_unreachable: Called with each group whose primary a peer does not reach.
         on_confirmed_primaries: Called with a peer's confirmed primaries by group, and the time in
             seconds at which the peer was asked.
+        on_leaving_members: Called with the leaving members that a peer knows, and the same time.
     """
 
     def __init__(
@@ -88,6 +89,7 @@
         on_regained: Callable[[str], None],
         on_unreachable: Callable[[str], None],
         on_confirmed_primaries: Callable[[dict[str, ConfirmedPrimary], float], None],
+        on_leaving_members: Callable[[list[LeavingMember], float], None],
     ) -> None:
         self._control = control
         self._transport = transport
@@ -102,6 +104,7 @@
         self._on_regained = on_regained
         self._on_unreachable = on_unreachable
         self._on_confirmed_primaries = on_confirmed_primaries
+        self._on_leaving_members = on_leaving_members
         self._ping = GatewayPing(control.name, address, data_centre)
         self._pingers: dict[str, asyncio.Task[None]] = {}
         self._intervals: dict[str, float] = {}
@@ -366,6 +369,7 @@
         for group in state.unreachable:
             self._on_unreachable(group)
         self._on_confirmed_primaries(state.vouched, asked_at)
+        self._on_leaving_members(state.leaving_members, asked_at)
         if not state.knows_sender:
             return  # its claims would not wait for a confirmation by this instance
         self._control.lease.note_peer_answer(
--- a/src/wigeonpoint/version/catalogue/__init__.py
+++ b/src/wigeonpoint/version/catalogue/__init__.py
@@ -21,7 +21,7 @@
     RegisteredInstance,
     next_coordinator,
 )
-from wigeonpoint.version.catalogue._leaving import LeavingMembers
+from wigeonpoint.version.catalogue._leaving import LeavingMember, LeavingMembers
 from wigeonpoint.version.catalogue._members import EXPIRY_GRACE_S, MemberDirectory
 from wigeonpoint.version.catalogue._record import MemberRecord
 
@@ -39,6 +39,7 @@
     "CoordinatorRecord",
     "Leadership",
     "LeadershipPhase",
+    "LeavingMember",
     "LeavingMembers",
     "MemberDirectory",
     "MemberRecord",
--- a/tests/gateway/test_leaving_primary.py
+++ b/tests/gateway/test_leaving_primary.py
@@ -128,6 +128,35 @@
             assert writer.last_run_s < LEAVING_S
 
 
+class TestKnownSince:
+    """Since when an instance knows that a member leaves."""
+
+    async def test_instance_that_starts_counts_from_when_its_peers_learned_of_it(self) -> None:
+        """Guards against an instance that uses a leaving member for its whole time anew."""
+        async with GatewayCluster() as cluster:
+            stop_replicas(cluster)
+            await asyncio.sleep(1.0)
+            cluster.announce_shutdown(cluster.group.leader())
+            await asyncio.sleep(4.0)
+            cluster.kill("g-chur")
+            gateway = cluster.start("g-chur", "chur")
+            await asyncio.sleep(1.0)
+            known_s = gateway.view.group(SERVICE).primary_leaving_s
+            assert known_s == pytest.approx(5.0, abs=0.3)
+
+    async def test_instance_that_returns_counts_from_when_its_peers_learned_of_it(self) -> None:
+        """Guards against the same at an instance that was cut off when the member said so."""
+        async with GatewayCluster() as cluster:
+            stop_replicas(cluster)
+            cluster.isolate("stgallen")
+            cluster.announce_shutdown(cluster.group.leader())
+            await asyncio.sleep(4.0)
+            cluster.network.heal()
+            await asyncio.sleep(1.5)
+            known_s = cluster.nodes["g-stgallen"].gateway.view.group(SERVICE).primary_leaving_s
+            assert known_s == pytest.approx(5.5, abs=0.3)
+
+
 class TestLogs:
     """What the logs tell of leaving members."""
 
