Replace a leaving primary also while few instances answer or no better member is left

What callers saw: refusals at a group whose leaving primary was not replaced, and before its use was bounded, statements at a member that may have stopped. Cause: with no reachable replica that stays, or fewer than half of the instances answering, no change was begun for as long as that lasted. A primary that is suspected must not be judged then, but one that leaves has to be replaced in any case. Change: once it has waited for the missing instances, the coordinator begins a planned change nevertheless. It may promote a member that leaves too, if that one stops later than the primary, or one that is not reached here but reports. The claim still waits for confirmations or for leases to expire. A group of which all members leave goes on.

--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -180,10 +180,13 @@
     def _primary_view(self, group: Group) -> PrimaryView:
         primary_id = group.primary_id
         pool = group.primary
-        replicas = [
+        others = [one for one in group.pools if one.record.id != primary_id]
+        replicas = [one for one in others if not one.record.leaving and one.health.available]
+        last_resorts = [
             one
-            for one in group.pools
-            if one.record.id != primary_id and not one.record.leaving and one.health.available
+            for one in others
+            if one not in replicas
+            and (pool is None or not group.leaves_before(one.record, pool.record))
         ]
         return PrimaryView(
             # A group that names no primary has members that have only just started.
@@ -191,6 +194,7 @@
             leaving_s=group.primary_leaving_s,
             unreachable_s=self._control.unreachable_s(pool),
             replicas=len(replicas),
+            last_resorts=len(last_resorts),
             contradicted=self._control.is_contradicted(group.name, primary_id or ""),
         )
 
--- a/src/wigeonpoint/process/gateway/control/_policy.py
+++ b/src/wigeonpoint/process/gateway/control/_policy.py
@@ -37,6 +37,8 @@
         leaving_s: Seconds since it announced its shutdown, None if it has not.
         unreachable_s: Seconds for which it has not been reached, 0 while it is reachable.
         replicas: Number of members that could be promoted.
+        last_resorts: Number of members that could be promoted if there is no better one: those
+            that are not reached here, or stop later than the primary.
         contradicted: Whether the members report that another one is the primary.
     """
 
@@ -45,6 +47,7 @@
     unreachable_s: float
     replicas: int
     contradicted: bool = False
+    last_resorts: int = 0
 
 
 def choose_coordinator(
@@ -87,18 +90,18 @@
             be cut off from its replicas before its successor is promoted, and most missing
             instances return within seconds.
     """
-    if view.replicas == 0:
-        return None
     voters = 1 + len(peers)
-    if 2 * voters < 1 + watched:
-        return None  # too few instances answer; the others may still reach the primary
+    waited = view.leaving_s is not None and view.leaving_s >= leaving_primary_wait_s
+    if view.replicas == 0 or 2 * voters < 1 + watched:
+        # Too few instances answer to judge the primary; the others may still reach it. One that
+        # leaves has to be replaced nevertheless, before it stops.
+        may_be_replaced = view.replicas + view.last_resorts > 0 and not view.contradicted
+        return ReplacementReason.LEAVING if waited and may_be_replaced else None
     if not view.listed:
         return ReplacementReason.GONE
     if view.contradicted:
         return ReplacementReason.NOT_PRIMARY
-    if view.leaving_s is not None and (
-        voters == 1 + watched or view.leaving_s >= leaving_primary_wait_s
-    ):
+    if view.leaving_s is not None and (voters == 1 + watched or waited):
         return ReplacementReason.LEAVING
     unreachable = sum(1 for seconds in [view.unreachable_s, *peers.values()] if seconds > 0)
     all_agree = unreachable == voters and voters > 1
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -96,7 +96,7 @@
             primary=replaced_id,
             unreachable_ms=int(replaced.health.failed_for_s * 1000) if replaced else None,
         )
-        candidate = await self._choose_member(replaced_id, claimed)
+        candidate = await self._choose_member(replaced_id, replaced_record, claimed)
         if candidate is None:
             self._log_failure("no replica answers")
             return
@@ -110,15 +110,22 @@
             self._log_failure(str(error) or "superseded")
 
     async def _choose_member(
-        self, replaced: str | None, claimed: Leadership | None
+        self,
+        replaced: str | None,
+        replaced_record: MemberRecord | None,
+        claimed: Leadership | None,
     ) -> MemberRecord | None:
         """Chooses the member to promote.
 
         The candidate of an unfinished claim is kept if it answers, because its promotion may have
         been called for and may still be carried out. The replaced primary is never chosen, for the
-        same reason.
+        same reason. Nor is a member that stops before the replaced primary, if that is leaving.
         """
-        records = [pool.record for pool in self._group.pools if pool.record.id != replaced]
+        records = [
+            pool.record
+            for pool in self._group.pools
+            if pool.record.id != replaced and not self._leaves_before(pool.record, replaced_record)
+        ]
         reports = await self._members.reports(records)
         if claimed is not None and reports.get(claimed.candidate or "") is not None:
             chosen = claimed.candidate
@@ -127,6 +134,11 @@
             chosen = choose_candidate(reports, leaving=leaving)
         return next((record for record in records if record.id == chosen), None)
 
+    def _leaves_before(self, record: MemberRecord, replaced: MemberRecord | None) -> bool:
+        if replaced is None or not replaced.leaving:
+            return False
+        return self._group.leaves_before(record, replaced)
+
     async def _wait_for_confirmations(self, claim: Claim) -> None:
         """Waits until no instance uses the replaced primary any more.
 
--- a/tests/gateway/test_leaving_primary.py
+++ b/tests/gateway/test_leaving_primary.py
@@ -17,6 +17,8 @@
 LEAVING_S = 7.0  # after its announcement, a member may get no new statement
 WATCHED_S = 12.0
 WRITE_INTERVAL_S = 0.05
+# Without confirmations, the change waits for leases to expire while the group has no primary.
+MISSING_REFUSALS = 10
 
 
 class Writer:
@@ -75,6 +77,38 @@
             assert writer.refused <= 2
             assert cluster.group.promotions == 1
 
+    async def test_change_is_made_while_most_instances_are_missing(self) -> None:
+        """Guards against a leaving primary that stays because few instances can judge it."""
+        async with GatewayCluster() as cluster:
+            for name in ("stgallen", "sargans"):
+                cluster.kill(f"g-{name}")
+            await asyncio.sleep(1.0)
+            writer = Writer(cluster)
+            await writer.write_while_leaving("chur")
+            assert writer.last_run_s < LEAVING_S
+            assert writer.refused <= MISSING_REFUSALS
+
+    async def test_member_that_leaves_later_is_promoted_if_no_other_can_be(self) -> None:
+        """Guards against a group that refuses statements while members of it still serve."""
+        async with GatewayCluster() as cluster:
+            caller = await cluster.caller("g-chur", "current")
+            cluster.announce_shutdown(cluster.member("chur"))
+            for name in ("stgallen", "sargans"):
+                cluster.announce_shutdown(cluster.member(name))
+            # The replicas learn of their shutdown two seconds after the primary.
+            leaving = cluster.nodes["g-chur"].gateway.view.leaving_members()
+            assert not leaving
+            await asyncio.sleep(0.5)
+            for node in cluster.nodes.values():
+                members = [one for one in node.gateway.view.leaving_members() if one.id == "m-chur"]
+                node.gateway.view.adopt_leaving(
+                    members, asked_at=asyncio.get_running_loop().time() - 2.0
+                )
+            await asyncio.sleep(5.0)
+            assert (await caller.query("WRITE a 1")).served
+            assert cluster.group.leader().record.id != "m-chur"
+            assert cluster.group.promotions == 1
+
 
 class TestBound:
     """Statements at a leaving primary whose successor cannot be promoted in time."""
