Reject odd entries among the members' before anything uses them

Here an entry of a real service whose id cannot be sent over the line protocol kept a crashed primary from being replaced, as every round of reports from the group's members raised an error. Cause: the decoder of members' rows checked the shape of fields but not their range. It took numbers of 400 digits, infinite and undefined numbers, host names, which are looked up while all other work waits, and ids and service names with line ends, which would carry further messages to a member. Change: ids and names are words of the line protocol, addresses are IPv4 hosts and ports in ASCII digits, numbers are finite and within bounds. Unreadable rows are logged at most 20 times in ten seconds, and the next line says how many were left out.

--- a/src/wigeonpoint/platform/_platform.py
+++ b/src/wigeonpoint/platform/_platform.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
@@ -17,8 +19,7 @@
     CATALOGUE_KEY,
     MEMBER_TABLE,
     OPERATOR_TABLE,
-    decode_catalogue,
-    decode_member,
+    RowDecoder,
 )
 from wigeonpoint.process.gateway import (
     GatewaySettings,
@@ -49,6 +50,7 @@
         )
         self._store = PlatformRowStore(self._store_client)
         self._connector = LineMemberConnector()
+        self._decoder = RowDecoder(lambda: asyncio.get_running_loop().time())
 
     @property
     def tables(self) -> TableNames:
@@ -73,11 +75,11 @@
 
     def decode_catalogue(self, row: VersionedRow) -> Catalogue | None:
         """Decodes the operators' configuration; None if it cannot be read."""
-        return decode_catalogue(row)
+        return self._decoder.catalogue(row)
 
     def decode_member(self, row: VersionedRow) -> MemberRecord | None:
         """Decodes a member's row; None if it cannot be used."""
-        return decode_member(row)
+        return self._decoder.member(row)
 
     def listen_for_callers(self, address: str, serve: ServeCaller) -> Listener:
         """Listens for callers."""
--- a/src/wigeonpoint/platform/_sockets.py
+++ b/src/wigeonpoint/platform/_sockets.py
@@ -31,7 +31,7 @@
         ValueError: The text is not `host:port`.
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65536:
         raise ValueError(f"not an address: {address!r}")
     return host, int(port)
 
