Play random series in which primaries leave among faults

A wait for a confirmation ends a millisecond before its deadline: on a clock that stands still it never did (seed 3).

--- a/src/wigeonpoint/process/gateway/control/_handover.py
+++ b/src/wigeonpoint/process/gateway/control/_handover.py
@@ -26,6 +26,7 @@
 BUSY_POLL_S = 0.004  # while some do; one report can confirm several answers
 RETRY_DELAY_S = 0.02
 STALLED_AFTER_S = 0.1  # a candidate that receives no log entries cannot confirm commits
+MIN_WAIT_S = 0.001
 HANDOVER_TIMEOUT_S = 8.0  # by then another instance has taken over the claim
 
 
@@ -89,7 +90,7 @@
         self._waiting += 1
         self._confirmation_wanted.set()
         try:
-            while not self._ended and loop.time() < deadline:
+            while not self._ended and deadline - loop.time() >= MIN_WAIT_S:
                 if self._confirms(answered_at, position):
                     return True
                 if (
--- /dev/null
+++ b/tests/gateway/_leaving_series.py
@@ -0,0 +1,81 @@
+"""Random series of members that leave among faults."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+from tests.gateway._fault_series import Step
+from tests.gateway._write_series import CALM_S, CRASH_S, DRAIN_S, WriteSeries
+
+PROMOTIONS_S = (0.3, 1.0, 5.0)
+
+
+class LeavingSeries(WriteSeries):
+    """Primaries leave while the store, replicas, promotions or instances fail.
+
+    At most one instance at a time does not reach the store, and instances reach each other, so that
+    every instance that runs can know of a shutdown.
+    """
+
+    _leaving = False
+
+    @property
+    def steps(self) -> list[Step]:
+        """Members that leave, and faults that may delay their successors."""
+        return [
+            self._leave,
+            self._forget_history,
+            self._cut_store,
+            self._restart,
+            self._crash_replica,
+            self._change_promotion_time,
+            self._lose_commit,
+            self._delay_commit,
+        ]
+
+    async def check_calm(self) -> None:
+        """Checks that callers are served once promotions are fast again."""
+        self.cluster.group.promote_s = PROMOTIONS_S[0]
+        await self.wait(CALM_S)
+        await super().check_calm()
+
+    def _cut_store(self) -> None:
+        """Cuts one instance off from the store, and no other."""
+        chosen = self.random.choice([*self.cluster.nodes, None])
+        for name, node in self.cluster.nodes.items():
+            node.platform.store.cut_off = name == chosen
+
+    def _leave(self) -> None:
+        if not self._leaving:
+            self.run(self._leave_for_a_while())
+
+    async def _leave_for_a_while(self) -> None:
+        self._leaving = True
+        member = self.cluster.group.leader()
+        self.cluster.announce_shutdown(member)
+        announced_at = self.now
+        await asyncio.sleep(DRAIN_S)
+        runs = len(member.runs)
+        await asyncio.sleep(CALM_S)
+        if len(member.runs) > runs:
+            self.violations.append(f"statements at {member.record.id}, left at {announced_at:.2f}")
+        started_ms = member.record.born_ms + 1
+        member.record = replace(member.record, leaving=False, born_ms=started_ms)
+        self._leaving = False
+
+    def _crash_replica(self) -> None:
+        self.run(self._crash_replica_for_a_while())
+
+    async def _crash_replica_for_a_while(self) -> None:
+        group = self.cluster.group
+        replicas = [one for one in group.members.values() if one is not group.leader()]
+        member = self.random.choice(replicas)
+        if not member.running:
+            return
+        member.running = False
+        await asyncio.sleep(self.random.uniform(*CRASH_S))
+        group.start_again(member)
+
+    def _change_promotion_time(self) -> None:
+        self.cluster.group.promote_s = self.random.choice(PROMOTIONS_S)
--- a/tests/gateway/test_fault_series.py
+++ b/tests/gateway/test_fault_series.py
@@ -7,6 +7,7 @@
 from tests.gateway._change_series import ChangeSeries
 from tests.gateway._cluster import GatewayCluster
 from tests.gateway._fault_series import FaultSeries
+from tests.gateway._leaving_series import LeavingSeries
 from tests.gateway._write_series import WriteSeries
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
@@ -17,6 +18,8 @@
 # 28: an instance took a copy of the store that it could not read again for the newest version.
 CHANGE_SEEDS = (1, 2, 28)
 WRITE_SEEDS = (1, 2)
+# 3: a wait for a confirmation did not end on a clock that stands still.
+LEAVING_SEEDS = (1, 3)
 
 
 async def play(series: type[FaultSeries], size: int, seed: int, *, restores: bool) -> None:
@@ -52,3 +55,12 @@
     async def test_small_fleet_writes_at_one_primary(self, seed: int, restores: bool) -> None:
         """Guards against two primaries, and stale reads, when changes of primary meet faults."""
         await play(WriteSeries, SMALL_FLEET, seed, restores=restores)
+
+
+class TestLeaving:
+    """Members that have announced their shutdown get no new statements in the end."""
+
+    @pytest.mark.parametrize("seed", LEAVING_SEEDS)
+    async def test_leaving_primaries_get_no_late_statements_among_faults(self, seed: int) -> None:
+        """Guards against faults that delay a change of primary beyond the time of the member."""
+        await play(LeavingSeries, SMALL_FLEET, seed, restores=False)
