Go on using a leaving primary while its unfinished change is taken over

What callers saw: refused writes while a primary that had announced its shutdown still ran. Cause: a claim that was taken over, by its own claimant too after 4 s, counted as the change of a lost primary. Every instance then stopped using it until the successor led. Change: a takeover stays a planned change if the claim was one, its candidate is kept and the primary answers. The handover asks the candidate after each answer whether it has been promoted, so it covers the former claimant's call as well; with another candidate it would not.

--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -76,11 +76,8 @@
         self._name = name
         self._group = group
         self._reason = reason
-
-    @property
-    def _planned(self) -> bool:
-        """Whether the replaced primary keeps running during the change."""
-        return self._reason is ReplacementReason.LEAVING
+        # Whether the replaced primary keeps running during the change.
+        self._planned = reason is ReplacementReason.LEAVING
 
     async def run(self) -> None:
         """Makes the change, or logs why it failed."""
@@ -100,6 +97,8 @@
         if candidate is None:
             self._log_failure("no replica answers")
             return
+        if claimed is not None:
+            self._planned = self._continues_planned(claimed, candidate)
         try:
             claim = await self._claims.claim(self._name, candidate, planned=self._planned)
             await self._wait_for_confirmations(claim)
@@ -121,19 +120,30 @@
         been called for and may still be carried out. The replaced primary is never chosen, for the
         same reason. Nor is a member that stops before the replaced primary, if that is leaving.
         """
-        records = [
-            pool.record
-            for pool in self._group.pools
-            if pool.record.id != replaced and not self._leaves_before(pool.record, replaced_record)
-        ]
+        records = [pool.record for pool in self._group.pools if pool.record.id != replaced]
         reports = await self._members.reports(records)
         if claimed is not None and reports.get(claimed.candidate or "") is not None:
             chosen = claimed.candidate
         else:
             leaving = [record.id for record in records if record.leaving]
+            for record in records:
+                if self._leaves_before(record, replaced_record):
+                    reports.pop(record.id, None)
             chosen = choose_candidate(reports, leaving=leaving)
         return next((record for record in records if record.id == chosen), None)
 
+    def _continues_planned(self, claimed: Leadership, candidate: MemberRecord) -> bool:
+        """Whether the primary stays in use while an unfinished planned change is taken over.
+
+        The candidate tells whether it still is a replica. Another candidate would not know of a
+        promotion of the former one.
+        """
+        primary = self._group.pool(claimed.primary or "")
+        same_candidate = candidate.id == claimed.candidate
+        return (
+            claimed.planned and same_candidate and primary is not None and primary.health.available
+        )
+
     def _leaves_before(self, record: MemberRecord, replaced: MemberRecord | None) -> bool:
         if replaced is None or not replaced.leaving:
             return False
--- a/tests/gateway/test_leaving_primary.py
+++ b/tests/gateway/test_leaving_primary.py
@@ -16,6 +16,7 @@
 
 LEAVING_S = 7.0  # after its announcement, a member may get no new statement
 WATCHED_S = 12.0
+SLOW_PROMOTION_S = 5.5  # longer than a claimant waits for it
 WRITE_INTERVAL_S = 0.05
 # Without confirmations, the change waits for leases to expire while the group has no primary.
 MISSING_REFUSALS = 10
@@ -77,6 +78,15 @@
             assert writer.refused <= 2
             assert cluster.group.promotions == 1
 
+    async def test_writes_go_on_while_a_slow_promotion_is_taken_over(self) -> None:
+        """Guards against a takeover that stops the use of a primary which still runs."""
+        async with GatewayCluster() as cluster:
+            cluster.group.promote_s = SLOW_PROMOTION_S
+            writer = Writer(cluster)
+            await writer.write_while_leaving("stgallen", "sargans")
+            assert writer.last_run_s < LEAVING_S
+            assert writer.refused <= 4
+
     async def test_change_is_made_while_most_instances_are_missing(self) -> None:
         """Guards against a leaving primary that stays because few instances can judge it."""
         async with GatewayCluster() as cluster:
