--- a/tests/gateway/_platform.py
+++ b/tests/gateway/_platform.py
@@ -42,6 +42,7 @@
 NAMES = TableNames("operators", "catalogue", "members")
 CALL_DELAY_S = 0.004
 UNREACHABLE_TIMEOUT_S = 0.3
+SILENT_PROMOTION_S = 1.5
 
 
 @dataclass(slots=True)
@@ -240,14 +241,22 @@
 
 
 class ModelPromoter:
-    """Records calls for promotions and carries them out."""
+    """Records calls for promotions and carries them out.
+
+    Attributes:
+        cut_off: Whether only this client cannot reach the promotion service.
+    """
 
     def __init__(self, groups: dict[str, ModelGroup], calls: list[PromotionCall]) -> None:
         self._groups = groups
         self._calls = calls
+        self.cut_off = False
 
     async def promote(self, service: str, member_id: str, *, holder: str, token: int) -> bool:
         """Records the call and starts the promotion."""
+        if self.cut_off:
+            await asyncio.sleep(SILENT_PROMOTION_S)
+            raise StoreUnavailable("no answer in time")
         await asyncio.sleep(CALL_DELAY_S)
         self._calls.append(PromotionCall(service, member_id, holder, token))
         return await self._groups[service].promote(member_id)
--- a/tests/gateway/test_leaving_primary.py
+++ b/tests/gateway/test_leaving_primary.py
@@ -78,6 +78,16 @@
             assert writer.refused <= 2
             assert cluster.group.promotions == 1
 
+    async def test_coordinator_without_promotions_leaves_the_change_to_the_others(self) -> None:
+        """Guards against a claimant that cannot complete a change and hinders the others."""
+        async with GatewayCluster() as cluster:
+            cluster.nodes["g-chur"].platform.promoter.cut_off = True
+            writer = Writer(cluster)
+            await writer.write_while_leaving("stgallen", "sargans")
+            assert writer.last_run_s < LEAVING_S
+            assert writer.refused <= 4
+            assert cluster.group.promotions == 1
+
     async def test_writes_go_on_while_a_slow_promotion_is_taken_over(self) -> None:
         """Guards against a takeover that stops the use of a primary which still runs."""
         async with GatewayCluster() as cluster:
