--- a/src/wigeonpoint/process/gateway/_group.py
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -97,7 +97,7 @@
         self._suspension = SuspensionWatch(clock)
         self._sharing = sharing
         self._leaving = leaving
-        self._leaving_s = leaving_s
+        self._serves_leaving_s = leaving_s
         self._superseded = superseded
         self._sample_source = sample_source
         self._fetching: asyncio.Task[None] | None = None
@@ -147,19 +147,23 @@
     def primary_leaving_s(self) -> float | None:
         """Seconds since the primary is known to be leaving, None if it is not leaving."""
         primary = self.primary
-        return self._leaving_s_of(primary.record) if primary is not None else None
+        return self.leaving_s(primary.record) if primary is not None else None
+
+    def leaving_s(self, record: MemberRecord) -> float | None:
+        """Seconds since a member is known to be leaving, None if it is not leaving."""
+        return self._leaving.known_s(record) if record.leaving else None
 
     def leaves_before(self, record: MemberRecord, other: MemberRecord) -> bool:
         """Whether a member stops before another one, or as soon."""
-        known_s, other_known_s = self._leaving_s_of(record), self._leaving_s_of(other)
+        known_s, other_known_s = self.leaving_s(record), self.leaving_s(other)
         if known_s is None:
             return False
         return other_known_s is None or known_s >= other_known_s
 
     def takes_new(self, record: MemberRecord) -> bool:
         """Whether a member may get new statements and transactions."""
-        known_s = self._leaving_s_of(record)
-        return known_s is None or known_s < LEAVING_USE_SHARE * self._leaving_s
+        known_s = self.leaving_s(record)
+        return known_s is None or known_s < LEAVING_USE_SHARE * self._serves_leaving_s
 
     def set_primary(self, member_id: str | None, *, known: bool) -> None:
         """Sets the primary that the group's record names.
@@ -325,9 +329,6 @@
             superseded=lambda connection: self._superseded(record, connection),
         )
 
-    def _leaving_s_of(self, record: MemberRecord) -> float | None:
-        return self._leaving.known_s(record) if record.leaving else None
-
     def _member_takes_new(self, member_id: str) -> bool:
         pool = self._pools.get(member_id)
         return pool is not None and self.takes_new(pool.record)
--- a/src/wigeonpoint/process/gateway/_metrics.py
+++ b/src/wigeonpoint/process/gateway/_metrics.py
@@ -93,6 +93,16 @@
         for labels, pool in pools:
             available.set(labels, float(pool.health.available))
             latency.set(labels, pool.latency.mean_s)
+        self._add_leaving(registry)
+
+    def _add_leaving(self, registry: Registry) -> None:
+        text = "Seconds since a member is known to be leaving, by leaving member."
+        leaving = Gauge("wigeonpoint_member_leaving_seconds", text, registry=registry)
+        for group in self._gateway.view.groups.values():
+            for pool in group.pools:
+                leaving_s = group.leaving_s(pool.record)
+                if leaving_s is not None:
+                    leaving.set(self._member_labels(group, pool), leaving_s)
 
     def _add_relay(self, registry: Registry) -> None:
         relay = self._gateway.relay
--- a/tests/gateway/_leaving_series.py
+++ b/tests/gateway/_leaving_series.py
@@ -9,6 +9,7 @@
 from tests.gateway._write_series import CALM_S, CRASH_S, DRAIN_S, WriteSeries
 
 PROMOTIONS_S = (0.3, 1.0, 5.0)
+CUT_S = (6.0, 14.0)
 
 
 class LeavingSeries(WriteSeries):
@@ -19,6 +20,7 @@
     """
 
     _leaving = False
+    _cutting = False
 
     @property
     def steps(self) -> list[Step]:
@@ -41,10 +43,25 @@
         await super().check_calm()
 
     def _cut_store(self) -> None:
-        """Cuts one instance off from the store, and no other."""
-        chosen = self.random.choice([*self.cluster.nodes, None])
-        for name, node in self.cluster.nodes.items():
-            node.platform.store.cut_off = name == chosen
+        if not self._cutting:
+            self.run(self._cut_store_for_a_while())
+
+    async def _cut_store_for_a_while(self) -> None:
+        """Cuts one instance off from the store, for as long as a change of primary may take."""
+        self._cutting = True
+        nodes = self.cluster.nodes
+        name = self.random.choice([*nodes, *[self._coordinator()] * len(nodes)])
+        client = nodes[name].platform.store
+        client.cut_off = True
+        await asyncio.sleep(self.random.uniform(*CUT_S))
+        client.cut_off = False
+        self._cutting = False
+
+    def _coordinator(self) -> str:
+        """Name of the instance that arranges changes of primary, any other one if that is lost."""
+        names = list(self.cluster.nodes)
+        named = self.cluster.nodes[names[0]].gateway.peers.coordinator
+        return named if named in names else names[0]
 
     def _leave(self) -> None:
         if not self._leaving:
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -38,6 +38,16 @@
             assert 'member="m-chur",role="primary"' in text
             assert 'wigeonpoint_store_calls_total{table="members"}' in text
 
+    async def test_leaving_members_are_shown(self) -> None:
+        """Guards against a leaving primary that stays in use while no metric shows it."""
+        async with GatewayCluster() as cluster:
+            metrics = GatewayMetrics(cluster.nodes["g-chur"].gateway)
+            series = 'wigeonpoint_member_leaving_seconds{group="signplan",member="m-sargans"'
+            assert series not in metrics.render([])[0].decode()
+            cluster.announce_shutdown(cluster.member("sargans"))
+            await asyncio.sleep(1.0)
+            assert series in metrics.render([])[0].decode()
+
     async def test_restore_of_the_store_is_shown_for_each_table(self) -> None:
         """Guards against a feed that follows an earlier era without a metric that shows it."""
         async with GatewayCluster() as cluster:
