Look for delayed changes of primary twice a second, not with each check

At the size to design for, every instance would look at 2,900 groups ten times a second, and work out the coordinator for each. The log line and its test are unchanged.

--- a/src/wigeonpoint/process/gateway/control/_delay_log.py
+++ b/src/wigeonpoint/process/gateway/control/_delay_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import StrEnum
 
 from wigeonpoint.events import Event, log_event
@@ -27,13 +28,13 @@
     def __init__(self) -> None:
         self._logged: dict[str, set[tuple[str, DelayReason]]] = {}  # of each group's last primary
 
-    def note(self, group: Group, reason: DelayReason, *, coordinator: str | None) -> None:
+    def note(self, group: Group, reason: DelayReason, *, coordinator: Callable[[], str]) -> None:
         """Logs why the leaving primary of a group is not replaced, if it has been leaving for long.
 
         Args:
             group: The group.
             reason: Why this instance does not replace the primary now.
-            coordinator: The instance that arranges changes of primary, None if it is not known.
+            coordinator: Returns the instance that arranges changes of primary.
         """
         leaving_s = group.primary_leaving_s
         primary_id = group.primary_id
@@ -50,5 +51,5 @@
             primary=primary_id,
             leaving_ms=int(leaving_s * 1000),
             reason=str(reason),
-            coordinator=coordinator,
+            coordinator=coordinator(),
         )
--- a/src/wigeonpoint/process/gateway/control/_failover.py
+++ b/src/wigeonpoint/process/gateway/control/_failover.py
@@ -32,6 +32,7 @@
 # A claim that is not completed within these times is taken over.
 CLAIM_TIMEOUT_S = 4.0
 UNREACHABLE_CLAIMANT_TIMEOUT_S = 0.6  # if the claimant does not answer
+NOTE_DELAYS_INTERVAL_S = 0.5
 LEASE_SETTLING_S = 0.4  # two rounds of pings after the lease is regained
 
 
@@ -76,6 +77,7 @@
         self._claimed_since: dict[str, tuple[int, float]] = {}
         self._unreachable_since: dict[str, float] = {}
         self._delays = DelayLog()
+        self._note_delays_at = 0.0
         self._check_task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -129,11 +131,16 @@
                 await self._control.deregister_instance(name)
 
     def _note_delays(self, reason: DelayReason) -> None:
+        """Logs why this instance replaces no leaving primary of any group."""
+        now = asyncio.get_running_loop().time()
+        if now < self._note_delays_at:
+            return
+        self._note_delays_at = now + NOTE_DELAYS_INTERVAL_S
         for group in self._groups().values():
             self._note_delay(group, reason)
 
     def _note_delay(self, group: Group, reason: DelayReason) -> None:
-        self._delays.note(group, reason, coordinator=self._peers.coordinator)
+        self._delays.note(group, reason, coordinator=lambda: self._peers.coordinator)
 
     def _lease_settled(self) -> bool:
         """Whether the lease has been valid for long enough to decide on recent observations.
