--- a/tests/gateway/test_leaving_primary.py
+++ b/tests/gateway/test_leaving_primary.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.gateway._cluster import SERVICE, Caller, GatewayCluster
+from tests.gateway._members import ModelMember
 from tests.gateway._relayed_fleet import RelayedFleet
 from wigeonpoint.events import Event
 from wigeonpoint.request.session import Refusal
@@ -65,6 +66,15 @@
         member.running = member is cluster.group.leader()
 
 
+def leave_without_store(cluster: GatewayCluster) -> ModelMember:
+    """Has all instances learn that the primary leaves, just before the store fails for good."""
+    member = cluster.group.leader()
+    cluster.store.down = True
+    for node in cluster.nodes.values():
+        node.gateway.view.members.apply(cluster.leaving_row(member))
+    return member
+
+
 class TestDelayedChange:
     """Changes of a leaving primary that something delays."""
 
@@ -144,10 +154,7 @@
     async def test_refusals_after_its_time_come_at_once_and_say_not_run(self) -> None:
         """Guards against callers that wait for a primary that nobody may use."""
         async with GatewayCluster() as cluster:
-            cluster.store.down = True
-            member = cluster.group.leader()
-            for node in cluster.nodes.values():
-                node.gateway.view.members.apply(cluster.leaving_row(member))
+            member = leave_without_store(cluster)
             callers = [await cluster.caller("g-chur", name) for name in ("current", "aged")]
             await asyncio.sleep(LEAVING_S)
             runs = len(member.runs)
@@ -160,10 +167,7 @@
     async def test_open_transaction_goes_on_after_its_time(self) -> None:
         """Guards against transactions that are broken off though the member still serves them."""
         async with GatewayCluster() as cluster:
-            cluster.store.down = True
-            member = cluster.group.leader()
-            for node in cluster.nodes.values():
-                node.gateway.view.members.apply(cluster.leaving_row(member))
+            leave_without_store(cluster)
             caller = await cluster.caller("g-chur", "current")
             for text in ("BEGIN", "WRITE a 1"):
                 assert (await caller.query(text)).served
--- a/tests/userplatform/test_odd_entries.py
+++ b/tests/userplatform/test_odd_entries.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
 from typing import Any
 
 import orjson
 import pytest
 
+from tests.userplatform._deployment import SERVICE, Deployment
 from tests.userplatform._servers import MemberServer
-from tests.userplatform.test_end_to_end import SERVICE, Deployment
 from wigeonpoint.events import Event
 from wigeonpoint.platform._tables import RowDecoder
 from wigeonpoint.services import VersionedRow
@@ -69,17 +68,6 @@
     return sum(getattr(record, "event", None) == number for record in caplog.records)
 
 
-@pytest.fixture
-async def deployment() -> AsyncIterator[Deployment]:
-    """A gateway with one group of three members."""
-    deployment = Deployment()
-    try:
-        await deployment.start()
-        yield deployment
-    finally:
-        deployment.stop()
-
-
 class TestDecoder:
     """Decoding of single rows."""
 
