Play odd entries of members to the real program

A process of its own follows the member table through three rounds of all odd entries and keys, and shows none of them in its metrics.

--- a/tests/userplatform/test_odd_entries.py
+++ b/tests/userplatform/test_odd_entries.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+from pathlib import Path
 from typing import Any
 
 import orjson
 import pytest
 
-from tests.userplatform._deployment import SERVICE, Deployment
-from tests.userplatform._servers import MemberServer
+from tests.userplatform._deployment import CONFIG, SERVICE, Deployment
+from tests.userplatform._gateway_process import GatewayProcess
+from tests.userplatform._servers import MemberServer, PlatformServer
 from wigeonpoint.events import Event
 from wigeonpoint.platform._tables import RowDecoder
 from wigeonpoint.services import VersionedRow
@@ -48,6 +50,7 @@
     "open nesting": (b'"sequence":1', b'"sequence":' + b"[" * 100_000),
 }
 ODD_KEYS = ["i-база", "i-\r\nQUERY q WRITE a b", "i a", "", "i" * 201]
+FOLLOWED_S = 15.0  # the first time includes the start of the process
 LOGGED_AT_MOST = 30  # lines of unreadable rows, within one interval
 
 
@@ -149,3 +152,33 @@
                 return
             await asyncio.sleep(0.1)
         pytest.fail(f"no write was served: {answer}")
+
+
+class TestProcess:
+    """`wigeonpoint gateway` as a process of its own, whose member table has odd entries."""
+
+    async def test_process_goes_on_and_follows_the_table(self, tmp_path: Path) -> None:
+        """Guards against a process that ends, or stops following the table, at an odd entry."""
+        platform = PlatformServer({})
+        platform.start()
+        platform.put("op", "config", CONFIG)
+        gateway = GatewayProcess(tmp_path, int(platform.address.rpartition(":")[2]))
+        try:
+            for round_number in range(3):
+                for number, value in enumerate(odd_values()):
+                    platform.store.put("servers", f"i-odd-{number}", value)
+                for key in ODD_KEYS:
+                    platform.put("servers", key, VALID)
+                platform.put("servers", f"i-good-{round_number}", VALID)
+                await self._wait_for_member(gateway, f"i-good-{round_number}")
+            assert gateway.process.poll() is None
+            assert "i-odd" not in await asyncio.to_thread(gateway.scrape)
+        finally:
+            gateway.process.kill()
+            gateway.process.wait()
+            platform.stop()
+
+    async def _wait_for_member(self, gateway: GatewayProcess, member: str) -> None:
+        async with asyncio.timeout(FOLLOWED_S):
+            while f'member="{member}"' not in await asyncio.to_thread(gateway.scrape):
+                await asyncio.sleep(0.1)
