List a promotion that is carried out late as a known fault

The first candidate crashes before its promotion; the takeover promotes another member, and the model carries out the first promotion 5 s after its call. The instances go on using the second one. Not a late statement at a leaving member.

--- a/tests/gateway/test_fault_series.py
+++ b/tests/gateway/test_fault_series.py
@@ -19,7 +19,8 @@
 CHANGE_SEEDS = (1, 2, 28)
 WRITE_SEEDS = (1, 2)
 # 1: a coordinator that the store did not answer kept a leaving primary in use.
-LEAVING_SEEDS = (1, 2)
+# 32: a promotion is carried out 5 s after its call, when another member has been promoted.
+LEAVING_SEEDS = (1, 2, 32)
 
 
 async def play(series: type[FaultSeries], size: int, seed: int, *, restores: bool) -> None:
