--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -120,6 +120,11 @@
         self.limit = limit
         self.state = "ready"
         self.suspended = False
+        self.deaf = False  # receives nothing
+        self.slow_s = 0.0  # by which a slow member is late with each answer
+        self.running = True
+        self._servers: list[asyncio.Server] = []
+        self._writers: set[asyncio.StreamWriter] = set()
         self.connections = 0
         self._waiting = 0
         self._slot = asyncio.Semaphore(slots)
@@ -152,19 +157,31 @@
             0,
             limit=MAX_LINE + 64,
         )
+        self._servers.append(server)
         self.ports[gateway] = server.sockets[0].getsockname()[1]
 
+    def crash(self) -> None:
+        """Ends as a process does that is killed: connections are reset, new ones are refused."""
+        self.running = False
+        for server in self._servers:
+            server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _serve(
         self, gateway: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connection = MemberConnection(self, gateway)
         self.connections += 1
+        self._writers.add(writer)
         try:
             while line := await reader.readuntil(b"\r\n"):
                 await self.group.network.wait_open(gateway, self.name)
                 if reader.at_eof():
                     break
                 answer = await connection.respond(line[:-2].decode("latin-1"))
+                if self.slow_s:
+                    await asyncio.sleep(self.slow_s)
                 await self.group.network.wait_open(gateway, self.name)
                 writer.write(answer.encode("latin-1"))
                 await writer.drain()
@@ -172,6 +189,7 @@
             pass
         finally:
             self.connections -= 1
+            self._writers.discard(writer)
             writer.close()
 
     async def work(self, seconds: float) -> bool:
@@ -192,6 +210,7 @@
         self._member, self._gateway = member, gateway
         self._values: dict[str, str] = {}
         self._prepared: dict[str, str] = {}
+        self._shapes: dict[str, str] = {}
         self._state = "I"
         self._read_only = False
         self._writes: list[tuple[str, str, str]] = []
@@ -239,12 +258,13 @@
             case "RESET":
                 self._values.clear()
                 self._prepared.clear()
+                self._shapes.clear()
                 return "COMPLETE -\r\n"
             case "SET":
                 self._values[words[1]] = text.split(" ", 2)[2]
                 return "COMPLETE -\r\n"
             case "PREPARE":
-                self._prepared[words[1]] = words[2]
+                self._prepared[words[1]], self._shapes[words[1]] = words[2], words[3]
                 return "COMPLETE -\r\n"
             case "ROLLBACK":
                 self._state, self._writes = "I", []
@@ -265,6 +285,11 @@
         """Runs a statement of a client."""
         member, group = self._member, self._member.group
         group.arrived(sid, member, text)
+        if words[0] == "EXECUTE":
+            if words[1] not in self._prepared:
+                return "ERROR NOSTMT no such name\r\n"
+            group.executed.append((now(), sid, member.name, self._shapes[words[1]]))
+            self.record_shape(sid, words[1])
         if self._state == "E":
             return "ERROR MALFORMED the transaction failed\r\n"
         if after is not None and member.position(member.applied()) < after:
@@ -283,6 +308,7 @@
             written, self._writes, self._state = self._writes, [], "I"
             if written:
                 group.commit(member, sid, written)
+                await group.wait_received(member)
             return self._proof(sid)
         if verb == "READ" or (verb == "EXECUTE" and not writes):
             entries = member.applied()
@@ -299,8 +325,13 @@
             self._writes.append((sid, item, value))
         else:
             group.commit(member, sid, [(sid, item, value)])
+            await group.wait_received(member)
         return self._proof(sid)
 
+    def record_shape(self, sid: str, name: str) -> None:
+        shape = self._shapes[name]
+        self._member.group.record(f"member {self._member.name} runs {sid} with the shape {shape}")
+
     def _fault(self, text: str) -> str:
         if self._state == "T":
             self._state, self._writes = "E", []
@@ -322,15 +353,20 @@
 class Group:
     """A primary and its replicas."""
 
-    def __init__(self, name: str, network: Network, record: Record, promote_s: float) -> None:
+    def __init__(
+        self, name: str, network: Network, record: Record, promote_s: float, *, sync: bool = False
+    ) -> None:
         self.name, self.network, self.record, self.promote_s = name, network, record, promote_s
+        self.sync = sync  # whether a commit is acknowledged once one replica has received it
         self.members: dict[str, Member] = {}
         self.leader: Member | None = None  # of the newest term
         self.ran: dict[str, list[str]] = {}  # members to which a statement came, by its id
         self.finished: set[str] = set()
         self.commits: dict[str, tuple[str, float, bool]] = {}  # member, time, by the leader
         self.reads: list[tuple[float, str, str, frozenset[str], bool]] = []
+        self.executed: list[tuple[float, str, str, str]] = []  # time, id, member, shape
         self.rolled_back: set[str] = set()
+        self.missing_at_promotion: set[str] = set()
         self._proofs = itertools.count(1)
         self.proofs: dict[str, str] = {}
 
@@ -365,9 +401,19 @@
             if other is not member:
                 asyncio.get_running_loop().call_later(NET_S, self._replicate, member, other)
 
+    async def wait_received(self, member: Member) -> None:
+        """Where commits are synchronous, waits until one replica has the log as it is now."""
+        length = len(member.log)
+        while self.sync and not any(
+            len(other.log) >= length for other in self.members.values() if other is not member
+        ):
+            await asyncio.sleep(NET_S)
+
     def _replicate(self, member: Member, other: Member) -> None:
         if member.role != "primary" or other.role == "primary" or other.suspended:
             return
+        if other.deaf or not (member.running and other.running):
+            return
         if other.term > member.term or other.held > member.term:
             return
         if self.network.open(member.name, other.name):
@@ -380,7 +426,7 @@
 
     def promote(self, name: str) -> bool:
         member = self.members.get(name)
-        if member is None:
+        if member is None or not member.running:
             return False
         if member is not self.leader:
             asyncio.get_running_loop().call_later(self.promote_s, self._take_lead, member)
@@ -392,7 +438,8 @@
             return
         term = max(max(m.term, m.held) for m in self.members.values()) + 1
         known = {entry.sid for entry in member.log}
-        self.rolled_back |= {sid for sid in self.commits if sid not in known}
+        self.missing_at_promotion = {sid for sid in self.commits if sid not in known}
+        self.rolled_back |= self.missing_at_promotion
         member.role, member.term, member.held = "primary", term, term
         member.suspended = False
         self.leader = member
@@ -644,6 +691,89 @@
                 await writer.drain()
 
 
+class PeerLink(Link):
+    """A path between two instances that changes addresses on the way, as a router may.
+
+    Each end knows the other by the address of the link that leads there, so that the path can be
+    cut. Addresses of equal length are put in place of each other within WebSocket frames.
+    """
+
+    there: dict[bytes, bytes]
+    back: dict[bytes, bytes]
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self._network.wait_open(*self._ends)
+        try:
+            far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self._target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.wait(
+            [
+                asyncio.create_task(self._translate(reader, far_writer, self.there)),
+                asyncio.create_task(self._translate(far_reader, writer, self.back)),
+            ],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        writer.close()
+        far_writer.close()
+
+    async def _translate(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, names: dict[bytes, bytes]
+    ) -> None:
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            lines = head.split(b"\r\n")
+            kept = [one for one in lines if not one.lower().startswith(b"sec-websocket-extensions")]
+            await self._pass_on(writer, b"\r\n".join(kept))
+            while True:
+                await self._pass_on(writer, await self._frame(reader, names))
+
+    async def _pass_on(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        await self._network.wait_open(*self._ends)
+        writer.write(data)
+        await writer.drain()
+
+    @staticmethod
+    async def _frame(reader: asyncio.StreamReader, names: dict[bytes, bytes]) -> bytes:
+        head = await reader.readexactly(2)
+        length = head[1] & 127
+        if length >= 126:
+            more = await reader.readexactly(2 if length == 126 else 8)
+            head, length = head + more, int.from_bytes(more)
+        mask = await reader.readexactly(4) if head[1] & 128 else b""
+        payload = _masked(await reader.readexactly(length), mask)
+        for name, other in names.items():
+            payload = payload.replace(name, other)
+        return head + mask + _masked(payload, mask)
+
+
+def _masked(data: bytes, mask: bytes) -> bytes:
+    if not mask or not data:
+        return data
+    key = (mask * (len(data) // 4 + 1))[: len(data)]
+    return (int.from_bytes(data) ^ int.from_bytes(key)).to_bytes(len(data))
+
+
+async def link_pair(network: Network, platform: Platform, one: Gateway, other: Gateway) -> None:
+    """Joins two instances by paths that can be cut."""
+    to_other = PeerLink(network, one.name, other.name, other.ports["control"])
+    to_one = PeerLink(network, other.name, one.name, one.ports["control"])
+    await to_other.listen()
+    await to_one.listen()
+
+    def name(port: int) -> bytes:
+        return f"127.0.0.1:{port}".encode()
+
+    own, far = name(one.ports["control"]), name(other.ports["control"])
+    onward = {own: name(to_one.port), name(to_other.port): far}
+    backward = {far: name(to_other.port), name(to_one.port): own}
+    to_other.there, to_other.back = onward, backward
+    to_one.there, to_one.back = backward, onward
+    platform.peer_paths[one.name, other.name] = name(to_other.port).decode()
+    platform.peer_paths[other.name, one.name] = name(to_one.port).decode()
+
+
 SETTINGS = """
 nodeName = "{name}"
 role = "gateway"
@@ -856,11 +986,13 @@
         return self._reader.at_eof()
 
 
-def catalogue(service: str, routes: list[dict[str, object]], connections: int = 50) -> object:
+def catalogue(
+    service: str, routes: list[dict[str, object]], connections: int = 50, sync: int = 0
+) -> object:
     return {
         "configVersion": 7,
         "routeTable": [{"prefix": "/", "serviceName": service, **route} for route in routes],
-        "services": [{"name": service, "maxConnections": connections, "syncReplicas": 0}],
+        "services": [{"name": service, "maxConnections": connections, "syncReplicas": sync}],
         "limits": {"txIdleMs": 3000},
     }
 
