Renew quorum leases for paused transactions and ask for one when it is first needed

Callers saw, while the store and one instance were away: the first statement after a pause refused for want of a primary, and transactions broken off that had paused for more than two seconds.

Cause: members were asked only for groups whose primary a statement had requested within two seconds, by a loop that looks every 80 ms; a statement of an open transaction did not count.

Change: a statement that finds no lease asks the members at once; an open transaction at the primary keeps its group in use. A handover accepts a quorum lease in place of the instance's own lease, as the claimant rules it out in the same way.

Result: TestOpenTransactions fails before (the write is refused; without a lost instance, too) and passes now.

--- a/src/wigeonpoint/process/gateway/_group.py
+++ b/src/wigeonpoint/process/gateway/_group.py
@@ -108,6 +108,7 @@
         self._changed = asyncio.Event()
         self.samples = PositionSamples()
         self.primary_requested_at = float("-inf")  # event-loop time of the last use of the primary
+        self.transactions_at_primary = 0  # open ones of callers here; they may pause for seconds
 
     @property
     def name(self) -> str:
--- a/src/wigeonpoint/process/gateway/_transactions.py
+++ b/src/wigeonpoint/process/gateway/_transactions.py
@@ -92,8 +92,7 @@
             return _aborted_reply("the primary may have been replaced")
         reply = await self._commit(context, exchange, transaction)
         context.session.end()
-        binding = self._bindings.pop(exchange.connection)
-        binding.pool.release(exchange.connection)
+        self._unbind(exchange.connection).pool.release(exchange.connection)
         return reply
 
     def roll_back(self, session: CallerSession) -> None:
@@ -188,6 +187,8 @@
             not transaction.read_only or exchange.pool.record.id == context.group.primary_id
         )
         transaction.connection = exchange.connection
+        if at_primary:
+            context.group.transactions_at_primary += 1
         self._bindings[exchange.connection] = _Binding(context.group, exchange.pool, at_primary)
 
     async def _run(self, context: StatementContext, exchange: Exchange) -> MemberAnswer | Reply:
@@ -275,8 +276,13 @@
         return reply
 
     async def _return_connection(self, connection: PooledConnection) -> None:
+        await self._unbind(connection).pool.roll_back(connection)
+
+    def _unbind(self, connection: PooledConnection) -> _Binding:
         binding = self._bindings.pop(connection)
-        await binding.pool.roll_back(connection)
+        if binding.at_primary:
+            binding.group.transactions_at_primary -= 1
+        return binding
 
 
 def _executes_prepared_write(context: StatementContext) -> bool:
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -210,9 +210,12 @@
             self._quorum_leases.request(group)
             return False
         handover = self._handovers.get(group)
-        if handover is not None:
-            return self.lease_valid and handover.usable
-        return self.lease_valid or self._quorum_leases.holds(group, member_id)
+        if handover is not None and not handover.usable:
+            return False
+        if self.lease_valid or self._quorum_leases.holds(group, member_id):
+            return True
+        self._quorum_leases.request(group)
+        return False
 
     def awaits_confirmation(self, group: str, member_id: str) -> bool:
         """Whether the members have to confirm a primary before its first use.
@@ -246,7 +249,9 @@
         handover = self._handovers.get(group)
         if handover is None or handover.primary_id != member_id:
             return self.may_send(group, member_id)
-        return await handover.confirm(position, deadline=deadline) and self.lease_valid
+        return await handover.confirm(position, deadline=deadline) and self.may_send(
+            group, member_id
+        )
 
     def leadership(self, group: str) -> Leadership | None:
         """The newest known leadership record of a group."""
--- a/src/wigeonpoint/process/gateway/control/_quorum_leases.py
+++ b/src/wigeonpoint/process/gateway/control/_quorum_leases.py
@@ -204,7 +204,8 @@
         if self._requesting(name):
             return False
         now = asyncio.get_running_loop().time()
-        if now - group.primary_requested_at > PRIMARY_IN_USE_S or group.primary is None:
+        recently = now - group.primary_requested_at <= PRIMARY_IN_USE_S
+        if group.primary is None or not (recently or group.transactions_at_primary):
             return False
         return self._clock() >= self._renew_at.get(name, float("-inf"))
 
--- a/tests/gateway/test_quorum_leases.py
+++ b/tests/gateway/test_quorum_leases.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.gateway._cluster import SERVICE
+from tests.gateway._cluster import SERVICE, GatewayCluster
 from wigeonpoint.backend import LogPosition, MemberRole
 from wigeonpoint.connection.session import MemberReport
 from wigeonpoint.process.gateway.control import blocks_old_quorum, quorum_confirms
@@ -15,6 +17,27 @@
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
+PAUSE_S = 2.9  # of a transaction; shorter than the time after which an idle one is rolled back
+
+
+class TestOpenTransactions:
+    """Transactions that pause while quorum leases keep the primary in use."""
+
+    async def test_paused_transaction_keeps_its_quorum_lease(self) -> None:
+        """Guards against transactions that fail because their pauses let the lease expire."""
+        async with GatewayCluster() as cluster:
+            cluster.store.down = True
+            cluster.kill("g-sargans")
+            await asyncio.sleep(1.0)
+            caller = await cluster.caller("g-chur", "current")
+            for text in ("BEGIN", "WRITE a 1"):
+                assert (await caller.query(text)).served
+            await asyncio.sleep(PAUSE_S)
+            for text in ("READ a", "COMMIT"):
+                assert (await caller.query(text)).served
+            assert cluster.nodes["g-chur"].gateway.view.group(SERVICE).transactions_at_primary == 0
+
+
 class TestQuorumConfirms:
     """Whether the reports of members confirm a primary."""
 
