Let answers of peers renew a lease only while the list of instances is recent

Cause: a lease was renewed when all instances of the own copy of the registrations answered. Behind a cut that copy does not change, so instances that register later are not asked, and with no other instance in it the lease never expired. The claimant relied on its end after 0.6 s.

Change: such answers count until the latest store read is 3 s old; a claimant without all confirmations waits until it has been registered for 3 s. Tests of the lease that renewed it without any store read now have one: without, nothing is known of other instances. The test of a partition waits until its fleet is 3 s old; a new one has the bound for a younger fleet.

--- a/src/wigeonpoint/process/gateway/control/__init__.py
+++ b/src/wigeonpoint/process/gateway/control/__init__.py
@@ -5,7 +5,11 @@
 from wigeonpoint.process.gateway.control._announcement_handler import AnnouncementHandler
 from wigeonpoint.process.gateway.control._control_state import ControlState
 from wigeonpoint.process.gateway.control._failover import Failover
-from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S, Lease
+from wigeonpoint.process.gateway.control._lease import (
+    FLEET_VIEW_MAX_AGE_S,
+    LEASE_DURATION_S,
+    Lease,
+)
 from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._messages import GatewayState
 from wigeonpoint.process.gateway.control._peers import GatewayPeers, store_read_age_s
@@ -26,6 +30,7 @@
 
 __all__ = [
     "CONTROL_TABLE",
+    "FLEET_VIEW_MAX_AGE_S",
     "LEASE_DURATION_S",
     "FULL_MESH_LIMIT",
     "AnnouncementHandler",
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -33,8 +33,8 @@
     RegisteredInstance,
 )
 
-# Members are asked to confirm primaries when the lease is about to expire.
-QUORUM_LEASES_AFTER_S = 0.8 * LEASE_DURATION_S
+# Members are asked to confirm primaries this long before the lease expires.
+QUORUM_LEASES_BEFORE_S = 0.2 * LEASE_DURATION_S
 LEASE_WATCH_INTERVAL_S = 0.05
 # A single failure of the store does not move the coordinator to another instance.
 WITHOUT_STORE_AFTER_S = 0.5
@@ -82,6 +82,7 @@
         self._on_lease_regained = on_lease_regained
         self._on_instances_changed = on_instances_changed
         self._lease_valid_since: float | None = None
+        self._registered_since: float | None = None
         self._leaderships: dict[str, Leadership] = {}
         self._claimants: frozenset[str] = frozenset()
         self._lost_leaderships: dict[str, Leadership] = {}
@@ -149,6 +150,15 @@
         """Whether this instance is registered, so that claimants wait for its confirmation."""
         return self.listed.get(self._name) == self._registration.row
 
+    @property
+    def registered_since(self) -> float:
+        """Time in seconds, by the lease's clock, since when this instance knows its registration.
+
+        Instances whose copy of the registrations is older may not know this one; it is the present
+        time while this instance is not registered.
+        """
+        return self.lease.now if self._registered_since is None else self._registered_since
+
     @property
     def registered_before(self) -> bool:
         """Whether the instance was registered when this process started."""
@@ -164,8 +174,8 @@
     def _quorum_leases_due_s(self) -> float:
         """Seconds until quorum leases are needed if nothing renews the lease; 0 if they are now."""
         if not self.registered:
-            return QUORUM_LEASES_AFTER_S
-        return max(QUORUM_LEASES_AFTER_S - self.lease.age_s(self.peers), 0.0)
+            return QUORUM_LEASES_BEFORE_S
+        return max(self.lease.remaining_s(self.peers) - QUORUM_LEASES_BEFORE_S, 0.0)
 
     @property
     def without_store(self) -> bool:
@@ -359,6 +369,10 @@
         known = self.instances
         for name in self._fleet.update(listed, era=self.era, now=self.lease.now):
             self.lease.forget_peer(name)
+        if not self.registered:
+            self._registered_since = None
+        elif self._registered_since is None:
+            self._registered_since = self.lease.now
         if self._fleet.unlisted and self._unlisted_timer is None:
             loop = asyncio.get_running_loop()
             self._unlisted_timer = loop.call_later(UNLISTED_GRACE_S, self._end_unlisted_grace)
@@ -383,7 +397,7 @@
             if self.lease_valid != (self._lease_valid_since is not None):
                 self._record_lease_change()
             # A valid lease cannot be lost sooner than it expires.
-            remaining_s = LEASE_DURATION_S - self.lease.age_s(self.peers) if self.lease_valid else 0
+            remaining_s = self.lease.remaining_s(self.peers) if self.lease_valid else 0.0
             await asyncio.sleep(max(remaining_s, LEASE_WATCH_INTERVAL_S))
 
     def _record_lease_change(self) -> None:
--- a/src/wigeonpoint/process/gateway/control/_lease.py
+++ b/src/wigeonpoint/process/gateway/control/_lease.py
@@ -4,9 +4,12 @@
 here. A claimant writes its claim to the store, and calls for the promotion only when every instance
 has confirmed the claim or when `LEASE_DURATION_S` has passed since. An instance uses primaries only
 while its lease is younger than that. Three things renew the lease: the store answered with the
-newest control rows; a peer told how recently it had such an answer; or every registered instance
-answered a ping and so has no claim of its own that is unknown here. Ages are measured by a clock
-that also counts the time for which the machine was suspended.
+newest control rows; a peer told how recently it had such an answer; or every known instance
+answered a ping and so has no claim of its own that is unknown here. An instance that is not known
+here registered after the latest store read. Answers of peers therefore renew the lease only until
+that read is `FLEET_VIEW_MAX_AGE_S` old, and a claimant that lacks a confirmation waits until it has
+been registered for that long. Ages are measured by a clock that also counts the time for which the
+machine was suspended.
 """
 
 from __future__ import annotations
@@ -17,6 +20,8 @@
 from wigeonpoint.process.gateway._suspension import Clock
 
 LEASE_DURATION_S = 0.6
+# Long enough for a slow store; each second of it can delay a change of primary behind a partition.
+FLEET_VIEW_MAX_AGE_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,8 +121,21 @@
             renewed_at = max(renewed_at, min(asked, default=self._clock()))
         return self._clock() - renewed_at
 
+    def remaining_s(self, peers: Collection[str]) -> float:
+        """Seconds until the lease expires, negative if it has expired.
+
+        Args:
+            peers: All registered instances but this one.
+        """
+        store_read_age_s = self.store_read_age_s()
+        by_store_s = LEASE_DURATION_S - store_read_age_s
+        by_peers_s = min(
+            LEASE_DURATION_S - self.age_s(peers), FLEET_VIEW_MAX_AGE_S - store_read_age_s
+        )
+        return max(by_store_s, by_peers_s)
+
     def is_valid(self, peers: Collection[str]) -> bool:
         """Whether the lease is valid, so that primaries may be used."""
         if self.store_read_age_s() < LEASE_DURATION_S:
             return True
-        return self.age_s(peers) < LEASE_DURATION_S
+        return self.remaining_s(peers) > 0
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -12,7 +12,7 @@
 from wigeonpoint.process.gateway.control._announcement_handler import AnnouncementHandler
 from wigeonpoint.process.gateway.control._claims import Claim, Claims, ClaimSuperseded
 from wigeonpoint.process.gateway.control._control_state import ControlState
-from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S
+from wigeonpoint.process.gateway.control._lease import FLEET_VIEW_MAX_AGE_S, LEASE_DURATION_S
 from wigeonpoint.process.gateway.control._member_control import MemberControl
 from wigeonpoint.process.gateway.control._messages import AnnounceLeadership
 from wigeonpoint.process.gateway.control._peers import GatewayPeers
@@ -154,7 +154,9 @@
 
         An instance that does not confirm the claim may hold a lease from before the claim, or a
         quorum lease from members that did not follow the new term yet. Both have expired once the
-        lease duration has passed since the claim and since enough members were suspended. If an
+        lease duration has passed since the claim and since enough members were suspended. An
+        instance that was cut off before this one registered may go on renewing its lease without
+        it for `FLEET_VIEW_MAX_AGE_S` from then on. If an
         instance is known to be missing from the start, the members are suspended while the claim is
         announced, so that both waits overlap. In a planned change the primary is not cut off from
         its replicas until the instances had time to finish statements there.
@@ -176,8 +178,12 @@
         finally:
             if suspension is not None:
                 suspension.cancel()
-        expiry_at = max(claim.claimed_at, suspended_at) + LEASE_DURATION_S + EXPIRY_MARGIN_S
-        await asyncio.sleep(max(expiry_at - self._control.lease.now, 0.0))
+        expiry_at = max(
+            claim.claimed_at + LEASE_DURATION_S,
+            suspended_at + LEASE_DURATION_S,
+            self._control.registered_since + FLEET_VIEW_MAX_AGE_S,
+        )
+        await asyncio.sleep(max(expiry_at + EXPIRY_MARGIN_S - self._control.lease.now, 0.0))
 
     async def _announce_claim(self, claim: Claim) -> set[str]:
         """Announces a claim to all instances; gives the names of the peers that confirmed it."""
--- a/tests/gateway/_members.py
+++ b/tests/gateway/_members.py
@@ -10,6 +10,7 @@
 from wigeonpoint.version.catalogue import MemberRecord
 
 START_POSITION = LogPosition(1, 0)
+RECENT_RUNS = 200  # statements that may run at a member between a statement and its check
 FOLLOW_AFTER_S = 1.0  # after which a replaced primary that reaches the new one follows it
 
 
@@ -114,6 +115,10 @@
             self._occupied -= 1
         return True
 
+    def runs_statement(self, statement_id: str) -> bool:
+        """Whether a statement is among the last ones that it ran."""
+        return any(run[0] == statement_id for run in self.runs[-RECENT_RUNS:])
+
     def receive(self, entry: Entry) -> None:
         """Appends an entry of the primary."""
         self.log.append(entry)
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -11,7 +11,7 @@
 from tests.gateway._members import Entry
 from wigeonpoint.backend import LogPosition
 from wigeonpoint.connection.session import CallerDisconnected
-from wigeonpoint.process.gateway.control import LEASE_DURATION_S
+from wigeonpoint.process.gateway.control import FLEET_VIEW_MAX_AGE_S, LEASE_DURATION_S
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
@@ -131,6 +131,7 @@
     async def test_partitioned_primary_is_replaced_once_its_lease_has_expired(self) -> None:
         """Guards against waits for instances and for members that do not overlap."""
         async with GatewayCluster() as cluster:
+            await asyncio.sleep(FLEET_VIEW_MAX_AGE_S)
             outside = await cluster.caller("g-sargans", "current")
             await write_values(outside, 3)
             cluster.isolate("chur")
@@ -138,6 +139,16 @@
             assert result.served
             assert gap <= UNCONFIRMED_GAP_S
 
+    async def test_claimant_that_has_just_registered_replaces_a_partitioned_primary(self) -> None:
+        """Guards against a new fleet that replaces a primary much later than it has to."""
+        async with GatewayCluster() as cluster:
+            outside = await cluster.caller("g-sargans", "current")
+            await write_values(outside, 3)
+            cluster.isolate("chur")
+            result, gap = await cluster.write_until_served(outside, "WRITE a after", within_s=6.0)
+            assert result.served
+            assert gap <= FLEET_VIEW_MAX_AGE_S
+
     async def test_instance_without_a_lease_opens_few_connections_to_its_primary(self) -> None:
         """Guards against an isolated instance that floods a member with connections."""
         async with GatewayCluster() as cluster:
--- a/tests/gateway/test_policy.py
+++ b/tests/gateway/test_policy.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from wigeonpoint.backend import LogPosition, MemberRole
 from wigeonpoint.connection.session import MemberReport
 from wigeonpoint.process.gateway.control import (
+    FLEET_VIEW_MAX_AGE_S,
     LEASE_DURATION_S,
     Lease,
     PrimaryView,
@@ -179,6 +181,7 @@
         """Guards against a lease that leaves out an instance, which may have claimed a group."""
         times = [10.5]
         lease = self.at(times)
+        lease.note_store_read(9.0)
         lease.note_peer_answer("b", asked_at=10.4, store_read_age_s=None)
         assert not lease.is_valid(["b", "c"])
         lease.note_peer_answer("c", asked_at=10.0, store_read_age_s=None)
@@ -196,6 +199,21 @@
         times.append(10.1 + LEASE_DURATION_S + 0.01)
         assert not lease.is_valid(["b", "c"])
 
-    def test_single_instance_needs_no_answers(self) -> None:
-        """Guards against a single instance that waits for answers of others."""
-        assert self.at([5.0]).is_valid([])
+    @pytest.mark.parametrize("peers", [[], ["b"]])
+    def test_answers_renew_no_lease_that_goes_back_to_an_old_store_read(
+        self, peers: list[str]
+    ) -> None:
+        """Guards against instances that renew leases without one that registered meanwhile."""
+        times = [10.0]
+        lease = self.at(times)
+        lease.note_store_read(10.0)
+        times.append(10.0 + FLEET_VIEW_MAX_AGE_S - 0.01)
+        for peer in peers:
+            lease.note_peer_answer(peer, asked_at=times[-1], store_read_age_s=None)
+        assert lease.is_valid(peers)
+        times.append(10.0 + FLEET_VIEW_MAX_AGE_S + 0.01)
+        assert not lease.is_valid(peers)
+
+    def test_instance_that_never_read_the_store_has_no_lease(self) -> None:
+        """Guards against a lease of an instance that cannot know the others."""
+        assert not self.at([5.0]).is_valid([])
