Close a control connection whose call is not answered in time

Members could run out of connections while they were busy.

Cause: a call to a member that timed out forgot its connection without closing it.

Change: it is closed; callers may name a longer timeout. The model's members can be slow to report, and can receive nothing.

--- a/src/wigeonpoint/process/gateway/control/_member_control.py
+++ b/src/wigeonpoint/process/gateway/control/_member_control.py
@@ -35,13 +35,29 @@
         self._idle: dict[str, ControlConnection] = {}
         self._idle_timers: dict[str, asyncio.TimerHandle] = {}
 
-    async def report(self, record: MemberRecord) -> MemberReport | None:
-        """The report of a member on itself, None if it does not answer."""
-        return await self._call(record, lambda connection: connection.report())
+    async def report(
+        self, record: MemberRecord, *, timeout: float = CALL_TIMEOUT_S
+    ) -> MemberReport | None:
+        """The report of a member on itself, None if it does not answer.
+
+        Args:
+            record: The member.
+            timeout: Seconds for the answer.
+        """
+        return await self._call(record, lambda connection: connection.report(), timeout=timeout)
+
+    async def reports(
+        self, records: list[MemberRecord], *, timeout: float = CALL_TIMEOUT_S
+    ) -> dict[str, MemberReport]:
+        """The reports of members by id; members that do not answer are left out.
 
-    async def reports(self, records: list[MemberRecord]) -> dict[str, MemberReport | None]:
-        """The reports of members by id; members that do not answer are left out."""
-        answers = await asyncio.gather(*(self.report(record) for record in records))
+        Args:
+            records: The members.
+            timeout: Seconds for each answer.
+        """
+        answers = await asyncio.gather(
+            *(self.report(record, timeout=timeout) for record in records)
+        )
         return {
             record.id: answer
             for record, answer in zip(records, answers, strict=True)
@@ -87,14 +103,19 @@
         self,
         record: MemberRecord,
         call: Callable[[ControlConnection], Awaitable[MemberReport | None]],
+        *,
+        timeout: float = CALL_TIMEOUT_S,
     ) -> MemberReport | None:
+        connection: ControlConnection | None = None
         try:
-            async with asyncio.timeout(CALL_TIMEOUT_S):
+            async with asyncio.timeout(timeout):
                 connection = self._take_idle(record.id)
                 if connection is None or connection.closed:
-                    connection = await self._connector.connect(record, timeout=CALL_TIMEOUT_S)
+                    connection = await self._connector.connect(record, timeout=timeout)
                 answer = await call(connection)
         except _CALL_ERRORS:
+            if connection is not None:
+                connection.close()  # a late answer must not be taken for that of the next call
             return None  # the calling function decides what a missing answer means, and logs it
         self._keep_idle(record.id, connection)
         return answer
--- a/tests/gateway/_member_connections.py
+++ b/tests/gateway/_member_connections.py
@@ -118,6 +118,7 @@
     async def report(self) -> MemberReport | None:
         """Reports its state."""
         await self._network_delay()
+        await asyncio.sleep(self._member.report_s)
         member = self._member
         return MemberReport(
             role=member.role,
--- a/tests/gateway/_members.py
+++ b/tests/gateway/_members.py
@@ -42,6 +42,8 @@
         arrived: Number of statements that arrived.
         refused: Number of statements that it refused because its queue was full.
         refuse_busy: Number of next statements to refuse as busy without running them.
+        deaf: Whether it receives nothing from the primary.
+        report_s: Seconds that it takes to report its state.
         compares_numbers_only: Whether it ignores the term when it compares positions.
         runs: Every statement that it ran: id, text, session values.
     """
@@ -64,6 +66,8 @@
     arrived: int = 0
     refused: int = 0
     refuse_busy: int = 0
+    deaf: bool = False
+    report_s: float = 0.0
     compares_numbers_only: bool = False
     running: bool = True
     runs: list[tuple[str, str, dict[str, str]]] = field(default_factory=list)
@@ -184,6 +188,8 @@
                 continue
             if other.record.id in self._suspended or not other.running:
                 continue
+            if other.deaf:
+                continue
             if other.role is MemberRole.PRIMARY:
                 continue  # a replaced primary follows nobody
             if self.network.reachable(own, other.record.address):
