Promote only a member that has all commits acknowledged with synchronous replicas

Cause: the candidate was the longest log among the members that answered within 0.25 s. A busy replica that alone had received the last commits was left out, as was one that is leaving.

Change: with s synchronous replicas, no member is promoted while s or more replicas are silent, and the longest log goes before a member that stays; busy members have 2 s to answer; the replicas are asked again when nobody uses the former primary any more.

--- a/src/wigeonpoint/process/gateway/control/_policy.py
+++ b/src/wigeonpoint/process/gateway/control/_policy.py
@@ -112,25 +112,47 @@
 
 
 def choose_candidate(
-    reports: Mapping[str, MemberReport | None], *, leaving: Collection[str]
+    reports: Mapping[str, MemberReport],
+    *,
+    leaving: Collection[str],
+    silent: Collection[str] = (),
+    synchronous_replicas: int = 0,
+    excluded: Collection[str] = (),
 ) -> str | None:
     """Chooses the member to promote: the longest log, a primary first, then the shortest lag.
 
+    With synchronous replicas, each acknowledged commit is in the log of that many replicas. The
+    longest log that was reported has it if fewer replicas than that are silent.
+
     Args:
-        reports: Reports of the replicas that answered, by id; None for one too busy to report.
-        leaving: Replicas that announced their shutdown; they are chosen only if no other answers.
+        reports: Reports of the replicas that answered, by id.
+        leaving: Replicas that announced their shutdown; chosen only if no other one may be.
+        silent: Replicas that did not tell what they received.
+        synchronous_replicas: Number of replicas that receive a commit before it is acknowledged.
+        excluded: Replicas that may not be chosen; their logs count nevertheless.
+
+    Returns:
+        Id of the member, None if no member may be promoted without losing acknowledged commits.
     """
-    reported = {member: report for member, report in reports.items() if report is not None}
-    not_leaving = {member: report for member, report in reported.items() if member not in leaving}
-    eligible = not_leaving or reported
+    if synchronous_replicas and len(silent) >= synchronous_replicas:
+        return None
+    candidates = reports
+    if synchronous_replicas:
+        longest = max((log_end(report) for report in reports.values()), default=(0, 0))
+        candidates = {one: report for one, report in reports.items() if log_end(report) == longest}
+    candidates = {one: report for one, report in candidates.items() if one not in excluded}
+    eligible = {one: report for one, report in candidates.items() if one not in leaving}
+    eligible = eligible or candidates
     if not eligible:
-        return min(reports.keys() - set(leaving), default=min(reports, default=None))
+        return None
     return max(eligible, key=lambda member: (*_log_progress(eligible[member]), member))
 
 
-def _log_progress(report: MemberReport) -> tuple[int, int, bool, float]:
-    primary = report.role is MemberRole.PRIMARY
+def log_end(report: MemberReport) -> tuple[int, int]:
+    """Term and position of the end of the log that a member has received."""
     received = report.received
-    if received is None:
-        return 0, 0, primary, -report.lag_s
-    return received.term, received.position, primary, -report.lag_s
+    return (0, 0) if received is None else (received.term, received.position)
+
+
+def _log_progress(report: MemberReport) -> tuple[int, int, bool, float]:
+    return *log_end(report), report.role is MemberRole.PRIMARY, -report.lag_s
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -15,15 +15,24 @@
 from wigeonpoint.process.gateway.control._claims import Claim, Claims, ClaimSuperseded
 from wigeonpoint.process.gateway.control._control_state import ControlState
 from wigeonpoint.process.gateway.control._lease import FLEET_VIEW_MAX_AGE_S, LEASE_DURATION_S
-from wigeonpoint.process.gateway.control._member_control import MemberControl
+from wigeonpoint.process.gateway.control._member_control import CALL_TIMEOUT_S, MemberControl
 from wigeonpoint.process.gateway.control._messages import AnnounceLeadership
 from wigeonpoint.process.gateway.control._peers import GatewayPeers
-from wigeonpoint.process.gateway.control._policy import ReplacementReason, choose_candidate
+from wigeonpoint.process.gateway.control._policy import (
+    ReplacementReason,
+    choose_candidate,
+    log_end,
+)
 from wigeonpoint.process.gateway.control._quorum_leases import blocks_old_quorum
 from wigeonpoint.process.gateway.control._records import group_row
 from wigeonpoint.services import Promoter, era_of, number_of
 from wigeonpoint.version.catalogue import Leadership, LeadershipPhase, MemberRecord
 
+# A member with a full queue answers as late as a statement that it runs. Without its report,
+# commits that only it received may be lost.
+BUSY_REPORT_TIMEOUT_S = 2.0
+CANDIDATE_ATTEMPTS = 3
+CATCH_UP_S = 1.0
 PROMOTION_ATTEMPTS = 4
 PROMOTION_RETRY_DELAY_S = 0.2
 PROMOTION_POLL_S = 0.05
@@ -97,19 +106,78 @@
         )
         candidate = await self._choose_member(replaced_id, replaced_record, claimed)
         if candidate is None:
-            self._log_failure("no replica answers")
+            self._log_failure("no replica may be promoted")
             return
         if claimed is not None:
             self._planned = self._continues_planned(claimed, candidate)
         try:
-            claim = await self._claims.claim(self._name, candidate, planned=self._planned)
-            await self._wait_for_confirmations(claim)
+            claim = await self._claim_safe_candidate(candidate, replaced_id, replaced_record)
+            if claim is None:
+                self._log_failure("no replica may be promoted")
+                return
             if not await self._call_for_promotion(claim):
                 return
             await self._complete(claim, replaced_record)
         except (ClaimSuperseded, ConditionFailed, StoreUnavailable) as error:
             self._log_failure(str(error) or "superseded")
 
+    async def _claim_safe_candidate(
+        self, candidate: MemberRecord, replaced: str | None, replaced_record: MemberRecord | None
+    ) -> Claim | None:
+        """Claims the change, and waits until no instance uses the replaced primary any more.
+
+        Until then further commits may be acknowledged because another replica received them. With
+        synchronous replicas, the members are therefore asked again, and a better candidate is
+        claimed instead.
+        """
+        for _ in range(CANDIDATE_ATTEMPTS):
+            claim = await self._claims.claim(self._name, candidate, planned=self._planned)
+            await self._wait_for_confirmations(claim)
+            if not self._group.service.synchronous_replicas or await self._has_longest_log(
+                candidate, replaced
+            ):
+                return claim
+            better = await self._choose_member(replaced, replaced_record, None)
+            if better is None:
+                return None
+            candidate = better
+        return None
+
+    async def _has_longest_log(self, candidate: MemberRecord, replaced: str | None) -> bool:
+        """Whether a candidate has received all that the other replicas have received by now."""
+        records = [pool.record for pool in self._group.pools if pool.record.id != replaced]
+        reports = await self._ask_members(records)
+        silent = [record.id for record in records if record.id not in reports]
+        if len(silent) >= self._group.service.synchronous_replicas:
+            return False
+        needed = max(log_end(report) for report in reports.values())
+        loop = asyncio.get_running_loop()
+        # In a planned change, what comes later is acknowledged once the candidate has received it.
+        end = loop.time() + (CATCH_UP_S if self._planned else 0.0)
+        report = reports.get(candidate.id)
+        while report is None or log_end(report) < needed:
+            if loop.time() >= end:
+                return False
+            await asyncio.sleep(PROMOTION_POLL_S)
+            report = await self._members.report(candidate)
+        return True
+
+    async def _ask_members(self, records: list[MemberRecord]) -> dict[str, MemberReport]:
+        """Asks members for reports; with synchronous replicas, waits for busy ones too."""
+        if not self._group.service.synchronous_replicas:
+            return await self._members.reports(records)
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        reports = await self._members.reports(records, timeout=BUSY_REPORT_TIMEOUT_S)
+        if loop.time() - asked_at > CALL_TIMEOUT_S or len(reports) < len(records):
+            log_event(
+                Event.REPLICAS_SILENT,
+                group=self._name,
+                heard=sorted(reports),
+                silent=sorted(record.id for record in records if record.id not in reports),
+            )
+        return reports
+
     async def _choose_member(
         self,
         replaced: str | None,
@@ -123,15 +191,19 @@
         same reason. Nor is a member that stops before the replaced primary, if that is leaving.
         """
         records = [pool.record for pool in self._group.pools if pool.record.id != replaced]
-        reports = await self._members.reports(records)
+        reports = await self._ask_members(records)
         if claimed is not None and reports.get(claimed.candidate or "") is not None:
             chosen = claimed.candidate
         else:
-            leaving = [record.id for record in records if record.leaving]
-            for record in records:
-                if self._leaves_before(record, replaced_record):
-                    reports.pop(record.id, None)
-            chosen = choose_candidate(reports, leaving=leaving)
+            chosen = choose_candidate(
+                reports,
+                leaving=[record.id for record in records if record.leaving],
+                silent=[record.id for record in records if record.id not in reports],
+                synchronous_replicas=self._group.service.synchronous_replicas,
+                excluded=[
+                    record.id for record in records if self._leaves_before(record, replaced_record)
+                ],
+            )
         return next((record for record in records if record.id == chosen), None)
 
     def _continues_planned(self, claimed: Leadership, candidate: MemberRecord) -> bool:
@@ -324,7 +396,11 @@
             pool = self._group.pool(candidate)
             if pool is None:
                 return None
-            report = await self._members.report(pool.record)
+            # Only with synchronous replicas, a member that is slow to answer becomes a candidate.
+            synchronous = self._group.service.synchronous_replicas > 0
+            report = await self._members.report(
+                pool.record, timeout=BUSY_REPORT_TIMEOUT_S if synchronous else CALL_TIMEOUT_S
+            )
             if report is not None and report.role is MemberRole.PRIMARY:
                 return report.term
             await asyncio.sleep(PROMOTION_POLL_S)
--- a/tests/gateway/_platform.py
+++ b/tests/gateway/_platform.py
@@ -337,10 +337,17 @@
     routes: dict[str, tuple[str, str]],
     *,
     idle_s: float = DEFAULT_TRANSACTION_IDLE_S,
+    synchronous_replicas: int = 0,
     **timeouts: float,
 ) -> bytes:
     """Encodes routes, given as service and consistency by database name."""
-    fields = {"version": version, "routes": routes, "timeouts": timeouts, "idle_s": idle_s}
+    fields = {
+        "version": version,
+        "routes": routes,
+        "timeouts": timeouts,
+        "idle_s": idle_s,
+        "synchronous_replicas": synchronous_replicas,
+    }
     return orjson.dumps(fields)
 
 
@@ -360,5 +367,8 @@
             target_s=0.1,
             max_age_s=None if kind is Consistency.CURRENT else 1.5,
         )
-    services = {service: Service(service) for service, _ in fields["routes"].values()}
+    services = {
+        service: Service(service, synchronous_replicas=fields["synchronous_replicas"])
+        for service, _ in fields["routes"].values()
+    }
     return Catalogue(fields["version"], routes, services, transaction_idle_s=fields["idle_s"])
--- a/tests/gateway/test_policy.py
+++ b/tests/gateway/test_policy.py
@@ -125,6 +125,53 @@
         assert choose_candidate(reports, leaving=["a"]) == "b"
         assert choose_candidate({"a": report(2, 10)}, leaving=["a"]) == "a"
 
+    def test_synchronous_replica_that_is_silent_may_have_all_that_was_acknowledged(self) -> None:
+        """Guards against a promotion that loses commits which only a busy replica received."""
+        reports = {"a": report(2, 9)}
+        assert choose_candidate(reports, leaving=[], silent=["b"], synchronous_replicas=1) is None
+        assert choose_candidate(reports, leaving=[], silent=["b"], synchronous_replicas=2) == "a"
+        assert choose_candidate(reports, leaving=[], silent=["b"]) == "a"
+
+    def test_synchronous_replica_with_the_longest_log_is_chosen_though_it_is_leaving(self) -> None:
+        """Guards against commits that are lost with a replica that received them last."""
+        reports = {"a": report(2, 10), "b": report(2, 9)}
+        assert choose_candidate(reports, leaving=["a"], synchronous_replicas=1) == "a"
+        reports = {"a": report(2, 10), "b": report(2, 10)}
+        assert choose_candidate(reports, leaving=["a"], synchronous_replicas=1) == "b"
+
+    def test_log_of_an_excluded_replica_counts(self) -> None:
+        """Guards against a successor that lacks what a replica that stops sooner received."""
+        reports = {"a": report(2, 10), "b": report(2, 9)}
+        assert (
+            choose_candidate(reports, leaving=["a"], excluded=["a"], synchronous_replicas=1) is None
+        )
+        assert choose_candidate(reports, leaving=["a"], excluded=["a"]) == "b"
+
+    @given(
+        received=st.dictionaries(
+            st.sampled_from("abcde"), st.sets(st.integers(1, 6)), min_size=1, max_size=5
+        ),
+        answering=st.sets(st.sampled_from("abcde")),
+        synchronous_replicas=st.integers(1, 3),
+    )
+    def test_chosen_log_has_all_that_enough_replicas_received(
+        self, received: dict[str, set[int]], answering: set[str], synchronous_replicas: int
+    ) -> None:
+        """Guards against any choice that lacks a commit which enough replicas have received."""
+        logs = {name: max(numbers, default=0) for name, numbers in received.items()}
+        acknowledged = [
+            number
+            for number in range(1, 7)
+            if sum(1 for end in logs.values() if end >= number) >= synchronous_replicas
+        ]
+        chosen = choose_candidate(
+            {name: report(1, end) for name, end in logs.items() if name in answering},
+            leaving=[],
+            silent=[name for name in logs if name not in answering],
+            synchronous_replicas=synchronous_replicas,
+        )
+        assert chosen is None or logs[chosen] >= max(acknowledged, default=0)
+
     def test_no_candidate_without_reports(self) -> None:
         """Guards against a claim without a candidate."""
         assert choose_candidate({}, leaving=[]) is None
