Close sessions of an instance that stops when their statements end

Cause: sessions were closed only if a look every 0.1 s found them idle; a busy one got new statements up to the end of the process. A session was also closed in the turn in which its next statement had been read, and a busy transaction was never rolled back.

Change: the end of an answer closes a session, a fifth of them at each step, and all once a further statement might not end in time; deadlines end before the process does; a message that has arrived keeps its session open until it is answered; a transaction is rolled back at the end of a statement.

--- a/src/wigeonpoint/connection/session/_protocols.py
+++ b/src/wigeonpoint/connection/session/_protocols.py
@@ -293,6 +293,11 @@
 class CallerConnection(Protocol):
     """The connection of one caller."""
 
+    @property
+    def message_arrived(self) -> bool:
+        """Whether a message has arrived that `receive` has not returned yet."""
+        ...
+
     async def receive(self) -> CallerMessage:
         """Waits for the next message.
 
--- a/src/wigeonpoint/platform/_callers.py
+++ b/src/wigeonpoint/platform/_callers.py
@@ -35,6 +35,12 @@
 
     def __init__(self, stream: IOStream) -> None:
         self._stream = stream
+        self._reading: asyncio.Future[bytes] | None = None
+
+    @property
+    def message_arrived(self) -> bool:
+        """Whether a message has arrived that `receive` has not returned yet."""
+        return self._reading is not None and self._reading.done()
 
     async def receive(self) -> CallerMessage:
         """Waits for the caller's next message.
@@ -43,9 +49,14 @@
             CallerDisconnected: The connection ended, or a message was too long to be read.
         """
         try:
-            line = await self._stream.read_until(END_OF_LINE, max_bytes=MAX_READ_BYTES)
+            self._reading = asyncio.ensure_future(
+                self._stream.read_until(END_OF_LINE, max_bytes=MAX_READ_BYTES)
+            )
+            line = await self._reading
         except (StreamClosedError, UnsatisfiableReadError) as error:
             raise CallerDisconnected from error
+        finally:
+            self._reading = None
         if len(line) > MAX_LINE_BYTES:
             return MalformedMessage(f"message over {MAX_LINE_BYTES} bytes", too_large=True)
         return parse_caller_message(decode_line(line))
--- a/src/wigeonpoint/process/gateway/_session_service.py
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -73,6 +73,9 @@
         self._transactions = transactions
         self._sessions: dict[CallerSession, CallerConnection] = {}
         self._running: set[CallerSession] = set()
+        self._closes_left = 0  # of busy sessions, until the next call of `end_sessions`
+        self._last_end_at = float("inf")  # event-loop time by which all statements must end
+        self._aborting = False
         self.metrics = StatementMetrics()
 
     @property
@@ -80,22 +83,42 @@
         """Number of open sessions."""
         return len(self._sessions)
 
-    def close_idle(self, max_sessions: int) -> None:
+    def close_idle(self, max_sessions: int) -> int:
         """Closes sessions without a statement in progress or a transaction, longest idle first.
 
         Args:
             max_sessions: Sessions to close at most.
+
+        Returns:
+            Number of closed sessions.
         """
         idle = [session for session in self._sessions if not self._is_busy(session)]
-        for session in sorted(idle, key=lambda one: one.active_at)[:max_sessions]:
+        closed = sorted(idle, key=lambda one: one.active_at)[:max_sessions]
+        for session in closed:
             self._sessions[session].close()
+        return len(closed)
+
+    def end_sessions(self, max_sessions: int, *, last_end_at: float) -> None:
+        """Closes some sessions: idle ones now, busy ones when their statements end.
+
+        Sessions whose next statement might not end in time are closed whatever their number. No
+        statement runs longer than until that time.
+
+        Args:
+            max_sessions: Sessions to close until the next call, beside those.
+            last_end_at: Event-loop time in seconds by which all statements must have ended.
+        """
+        self._last_end_at = last_end_at
+        for session in [one for one in self._sessions if self._is_last_statement(one)]:
+            if not self._is_busy(session):
+                self._sessions[session].close()
+        self._closes_left = max_sessions - self.close_idle(max_sessions)
 
     def abort_transactions(self) -> None:
-        """Rolls back open transactions that have no statement in progress."""
-        for session in self._sessions:
-            if session.transaction is not None and session not in self._running:
-                self._transactions.roll_back(session)
-                session.note_abort()
+        """Rolls back open transactions, those with a statement in progress at its end."""
+        self._aborting = True
+        for session in list(self._sessions):
+            self._abort_transaction(session)
 
     async def serve(self, connection: CallerConnection) -> None:
         """Serves a connection until it ends."""
@@ -116,7 +139,37 @@
             connection.close()
 
     def _is_busy(self, session: CallerSession) -> bool:
-        return session in self._running or not session.idle
+        return session in self._running or self._awaits_answer(session) or not session.idle
+
+    def _awaits_answer(self, session: CallerSession) -> bool:
+        """Whether a message has arrived that its session has not begun to answer."""
+        return self._sessions[session].message_arrived
+
+    def _is_last_statement(self, session: CallerSession) -> bool:
+        """Whether a statement that is sent after the present one might not end in time."""
+        route = self._route(session)
+        timeout_s = route.timeout_s if route is not None else 0.0
+        return asyncio.get_running_loop().time() + timeout_s >= self._last_end_at
+
+    def _abort_transaction(self, session: CallerSession) -> None:
+        if session.transaction is None or session in self._running or self._awaits_answer(session):
+            return
+        self._transactions.roll_back(session)
+        session.note_abort()
+
+    def _end_after_answer(self, session: CallerSession) -> None:
+        """Ends the session or its transaction, if that is due and nothing else has arrived."""
+        if session not in self._sessions:
+            return
+        if self._aborting:
+            self._abort_transaction(session)
+        if self._is_busy(session):
+            return
+        if self._is_last_statement(session):
+            self._sessions[session].close()
+        elif self._closes_left > 0:
+            self._closes_left -= 1
+            self._sessions[session].close()
 
     async def _open_session(self, connection: CallerConnection) -> CallerSession | None:
         message = await connection.receive()
@@ -204,6 +257,9 @@
             self._running.discard(session)
             session.active_at = loop.time()
         self._record_answer(session, statement, reply, loop.time() - started_at)
+        if self._last_end_at < float("inf"):
+            # By then the session waits for its next message, so that one which arrived shows.
+            loop.call_soon(self._end_after_answer, session)
 
     def _record_answer(
         self,
@@ -321,7 +377,8 @@
     ) -> StatementContext:
         now = asyncio.get_running_loop().time()
         group = self._group(route.service)
-        return StatementContext(session, route, group, statement, deadline=now + route.timeout_s)
+        deadline = min(now + route.timeout_s, self._last_end_at)
+        return StatementContext(session, route, group, statement, deadline=deadline)
 
     @staticmethod
     def _is_write(session: CallerSession, statement: SessionStatement) -> bool:
--- a/src/wigeonpoint/process/gateway/_shutdown.py
+++ b/src/wigeonpoint/process/gateway/_shutdown.py
@@ -12,6 +12,7 @@
 TRANSACTION_FRACTION = 0.5  # of the grace period, for open transactions to end
 EXIT_MARGIN_S = 0.6  # of the grace period, for deregistering and the end of the process
 PROCESS_EXIT_S = 0.3
+ANSWER_MARGIN_S = 0.1  # for the answers to statements that reach their deadline
 CLOSE_INTERVAL_S = 0.1
 CLOSE_FRACTION = 0.2  # of the sessions at each step, so that callers do not all reconnect at once
 
@@ -47,7 +48,10 @@
         while loop.time() - started_at < self._grace_s - EXIT_MARGIN_S:
             if not self._sessions.sessions and not self._relay.transactions:
                 return
-            self._sessions.close_idle(max(int(self._sessions.sessions * CLOSE_FRACTION), 1))
+            self._sessions.end_sessions(
+                max(int(self._sessions.sessions * CLOSE_FRACTION), 1),
+                last_end_at=started_at + self._grace_s - EXIT_MARGIN_S - ANSWER_MARGIN_S,
+            )
             if not aborted and loop.time() - started_at >= self._grace_s * TRANSACTION_FRACTION:
                 aborted = True
                 self._sessions.abort_transactions()
--- a/tests/gateway/_cluster.py
+++ b/tests/gateway/_cluster.py
@@ -71,6 +71,11 @@
         self.closed = False
         self.rejected: Reply | None = None
 
+    @property
+    def message_arrived(self) -> bool:
+        """Whether a message has arrived that `receive` has not returned yet."""
+        return not self._inbox.empty()
+
     async def receive(self) -> CallerMessage:
         """Gives the next message to the gateway."""
         message = await self._inbox.get()
--- a/tests/gateway/test_shutdown.py
+++ b/tests/gateway/test_shutdown.py
@@ -6,13 +6,19 @@
 
 import pytest
 
-from tests.gateway._cluster import GRACE_S, GatewayCluster
+from tests.gateway._cluster import GRACE_S, Caller, GatewayCluster
+from wigeonpoint.connection.session import CallerDisconnected
 from wigeonpoint.errors import ConditionFailed
 from wigeonpoint.process.gateway.control import (
     CONTROL_TABLE,
 )
+from wigeonpoint.request.session import Refusal
 from wigeonpoint.services import RowKey, RowTransaction
 
+BUSY_STATEMENT_S = 0.055
+NETWORK_S = 0.001  # from an answer to the caller's next statement
+LONGEST_STATEMENT_S = 0.8  # the timeout of the model's routes
+
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
 
@@ -35,6 +41,70 @@
             assert caller.closed
             assert "g-chur" not in cluster.nodes["g-sargans"].gateway.control.instances
 
+    async def test_sessions_that_are_always_busy_end_with_an_answer(self) -> None:
+        """Guards against statements that are cut off because their sessions never look idle."""
+        async with GatewayCluster() as cluster:
+            for member in cluster.group.members.values():
+                member.statement_s = BUSY_STATEMENT_S
+            gateway = cluster.nodes["g-chur"].gateway
+            callers = [await cluster.caller("g-chur", "current") for _ in range(8)]
+            unanswered: list[float] = []
+            ended: list[float] = []
+            uses = [
+                asyncio.create_task(self.use_without_pause(one, unanswered, ended))
+                for one in callers
+            ]
+            began = asyncio.get_running_loop().time()
+            await gateway.drain()
+            cluster.kill("g-chur")
+            await asyncio.gather(*uses)
+            assert unanswered == []
+            assert max(ended) - began < GRACE_S - LONGEST_STATEMENT_S
+
+    @staticmethod
+    async def use_without_pause(
+        caller: Caller, unanswered: list[float], ended: list[float]
+    ) -> None:
+        """Sends one statement after the other, and notes those left unanswered."""
+        loop = asyncio.get_running_loop()
+        while not caller.closed:
+            sent_at = loop.time()
+            try:
+                await caller.query("READ a")
+            except CallerDisconnected:
+                unanswered.append(sent_at)
+            await asyncio.sleep(NETWORK_S)
+        ended.append(loop.time())
+
+    async def test_message_that_has_arrived_keeps_its_session_open(self) -> None:
+        """Guards against a session that is closed in the turn in which its statement is read."""
+        async with GatewayCluster() as cluster:
+            sessions = cluster.nodes["g-chur"].gateway.sessions
+            caller = await cluster.caller("g-chur", "current")
+            assert (await caller.query("READ a")).served
+            await asyncio.sleep(0.01)
+            query = asyncio.ensure_future(caller.query("READ a"))
+            asyncio.get_running_loop().call_soon(sessions.close_idle, 10)
+            assert (await query).served
+
+    async def test_busy_transaction_is_rolled_back_at_half_of_the_grace_period(self) -> None:
+        """Guards against a transaction that outlasts the process as it always has a statement."""
+        async with GatewayCluster() as cluster:
+            for member in cluster.group.members.values():
+                member.statement_s = BUSY_STATEMENT_S
+            gateway = cluster.nodes["g-chur"].gateway
+            caller = await cluster.caller("g-chur", "current")
+            assert (await caller.query("BEGIN")).served
+            draining = asyncio.create_task(gateway.drain())
+            began = asyncio.get_running_loop().time()
+            while (result := await caller.query("READ a")).served:
+                assert asyncio.get_running_loop().time() - began < GRACE_S / 2 + 0.5
+                await asyncio.sleep(NETWORK_S)
+            assert result.reply.refusal is Refusal.ABORTED
+            assert (await caller.query("ROLLBACK")).served
+            await draining
+            assert caller.closed
+
     async def test_open_transaction_has_half_of_the_grace_period(self) -> None:
         """Guards against transactions that are ended at once, or are still open at process exit."""
         async with GatewayCluster() as cluster:
