Ask another peer, and then the store, while a copy of a table does not arrive

Operators saw changes that were not in force in time on instances that had lost the store, while copies from peers failed after 3 s each.

Cause: an instance copied a table from one peer at a time, began again with the one that told first, and read the store only where no other instance did so for its data centre.

Change: another peer is asked after each second, one that failed a short time ago last; after two seconds without a change the instance asks the store.

That the users' report had this cause is not shown.

--- a/src/wigeonpoint/process/gateway/_table_feed.py
+++ b/src/wigeonpoint/process/gateway/_table_feed.py
@@ -70,6 +70,7 @@
         self._rows: dict[str, VersionedRow] = {}
         self._version = 0
         self._changed = 0
+        self._changed_at = float("-inf")
         self._changed_event = asyncio.Event()
         self._loaded = False
         self._unapplied = False  # whether an error kept a change of the copy from being applied
@@ -97,6 +98,11 @@
         """Store version of the table's last known change."""
         return self._changed
 
+    @property
+    def changed_at(self) -> float:
+        """Event-loop time in seconds at which the last change became known here."""
+        return self._changed_at
+
     @property
     def era(self) -> int:
         """Number of restores of the store that the copy follows."""
@@ -337,6 +343,7 @@
         if version <= self._changed:
             return
         self._changed = version
+        self._changed_at = asyncio.get_running_loop().time()
         self._changed_event.set()
         self._changed_event = asyncio.Event()
 
--- a/src/wigeonpoint/process/gateway/control/_change_watch.py
+++ b/src/wigeonpoint/process/gateway/control/_change_watch.py
@@ -46,7 +46,6 @@
         self._table = table
         self._feed = feed
         self._tasks: dict[str, asyncio.Task[None]] = {}
-        self._fetching = asyncio.Lock()
 
     def register(self, dispatcher: PeerDispatcher) -> None:
         """Registers the handler of peers that wait for a change."""
@@ -75,7 +74,7 @@
                 changed = await self._await_change(address)
                 if self._feed.lacks(changed):
                     await asyncio.sleep(delay_s)
-                    await self._fetch(address, changed)
+                    await self._exchange.copy_change(address, self._table, changed)
                 answers = True
             except InvalidRequest:
                 await asyncio.sleep(AWAIT_CHANGE_S)  # an instance of an earlier build
@@ -99,12 +98,6 @@
         )
         return make_version(latest.era, latest.changed)
 
-    async def _fetch(self, address: str, changed: int) -> None:
-        """Copies the table from a peer unless another copy has brought the change meanwhile."""
-        async with self._fetching:
-            if self._feed.lacks(changed):
-                await self._exchange.fetch(address, self._table)
-
     async def _answer_await(self, request: AwaitChange) -> LatestChange:
         known = make_version(request.era, request.changed)
         changed = self._feed.changed
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -189,7 +189,7 @@
         """
         peer = self._control.peers.get(name)
         if peer is not None and self._prompt_feed.lacks(changed):
-            self._tables.start_fetch(peer.address, self._prompt_table)
+            self._tables.start_fetch(peer.address, self._prompt_table, at_once=True)
 
     def state(self, name: str) -> GatewayState | None:
         """The last state of a peer, None if it has not answered for `STATE_MAX_AGE_S`."""
