Retrieve the failure of a connection attempt that nobody waits for any more

The log of an instance had tracebacks outside its structured lines, without a bound on their number.

Cause: the task that opens a connection to a peer fails after all requests that waited for it had given up, so nothing retrieved its exception.

Change: a callback retrieves it; requests that still wait raise it as before.

Result: TestAbandonedConnection fails before (one traceback for one attempt) and passes.

--- a/src/wigeonpoint/connection/_peers.py
+++ b/src/wigeonpoint/connection/_peers.py
@@ -167,6 +167,7 @@
         opening = self._opening.get(address)
         if opening is None:
             opening = asyncio.create_task(self._open(address))
+            opening.add_done_callback(_retrieve_exception)
             self._opening[address] = opening
         try:
             return await asyncio.shield(opening)
@@ -198,3 +199,12 @@
             # Building an adapter takes 1 ms or more; setdefault would build one on each call.
             adapter = self._adapters[reply_type] = TypeAdapter(reply_type)
         return adapter
+
+
+def _retrieve_exception(task: asyncio.Task[Any]) -> None:
+    """Marks the failure of a task as known, as the requests that waited may all have given up.
+
+    Those that still wait raise it; otherwise the event loop would log a traceback of its own.
+    """
+    if not task.cancelled():
+        task.exception()
--- a/tests/test_peer_channels.py
+++ b/tests/test_peer_channels.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import socket
 from collections.abc import AsyncIterator
+from contextlib import suppress
 
 import pytest
 from tornado.httpserver import HTTPServer
@@ -14,7 +16,13 @@
 from wigeonpoint.connection import PeerChannels, PeerDispatcher
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.platform._peers import PeerHandler
-from wigeonpoint.process.gateway.control._messages import FetchTable, TableCopy, TableRow
+from wigeonpoint.process.gateway.control._messages import (
+    AwaitChange,
+    FetchTable,
+    LatestChange,
+    TableCopy,
+    TableRow,
+)
 
 SHORT_S = 0.2
 # Less than the timeout of the connection attempt, which is 1 s.
@@ -101,3 +109,29 @@
         listener.stop()
         assert copy.rows[0].value == value
         assert ["permessage-deflate" in one for one in extensions] == [compress]
+
+
+class TestAbandonedConnection:
+    """A connection attempt that fails when no request waits for it any more."""
+
+    async def test_its_failure_is_not_reported_as_lost(self) -> None:
+        """Guards against tracebacks in the log, unbounded and outside its structured lines."""
+        reported: list[str] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: reported.append(context["message"]))
+        with socket.socket() as silent:
+            silent.bind(("127.0.0.1", 0))  # not listening: connections are refused
+            channels = PeerChannels("own:1", PeerDispatcher(), "key")
+            address = f"127.0.0.1:{silent.getsockname()[1]}"
+            request = asyncio.create_task(
+                channels.request(address, AwaitChange("t", 0, 0, 1.0), LatestChange, timeout=1.0)
+            )
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            request.cancel()
+            with suppress(asyncio.CancelledError):
+                await request
+            await asyncio.sleep(0.3)
+        gc.collect()
+        await asyncio.sleep(0)
+        assert reported == []
