Bind what a statement needs of its session when it is accepted

Cause: an attempt looked up values and prepared statements in the live session after it had waited for its connection; an abandoned attempt of a hedged read does so while the session goes on.

--- a/src/wigeonpoint/connection/session/__init__.py
+++ b/src/wigeonpoint/connection/session/__init__.py
@@ -24,13 +24,18 @@
     OpenSession,
     RequestTerms,
 )
-from wigeonpoint.connection.session._session import CallerSession, SessionTransaction
+from wigeonpoint.connection.session._session import (
+    CallerSession,
+    SessionSnapshot,
+    SessionTransaction,
+)
 
 __all__ = [
     "CallerConnection",
     "CallerDisconnected",
     "CallerMessage",
     "CallerSession",
+    "SessionSnapshot",
     "ControlConnection",
     "ControlConnector",
     "EndSession",
--- a/src/wigeonpoint/connection/session/_session.py
+++ b/src/wigeonpoint/connection/session/_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from wigeonpoint.backend import LogPosition
@@ -33,6 +34,25 @@
     wrote: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class SessionSnapshot:
+    """What a statement needs of its session, as it was when the statement was accepted.
+
+    An attempt that has been given up may go on while the session takes further statements.
+
+    Attributes:
+        number: Number of the session.
+        values: Session values by name.
+        prepared: The prepared statement that is executed, None if it is another statement.
+        committed: Position of the session's last commit in the statement's group, or None.
+    """
+
+    number: int
+    values: Mapping[str, str] = field(default_factory=dict)
+    prepared: PreparedStatement | None = None
+    committed: LogPosition | None = None
+
+
 @dataclass(slots=True, eq=False)
 class CallerSession:
     """A caller's session; it lasts as long as the caller's connection.
@@ -64,6 +84,20 @@
         """Whether no transaction is open."""
         return self.state is TransactionState.IDLE
 
+    def snapshot(self, *, group: str, prepared_name: str | None) -> SessionSnapshot:
+        """Copies what a statement needs of the session.
+
+        Args:
+            group: Name of the statement's group.
+            prepared_name: Name of the prepared statement that it executes, None for others.
+        """
+        return SessionSnapshot(
+            self.number,
+            dict(self.values),
+            None if prepared_name is None else self.prepared.get(prepared_name),
+            self.committed.get(group),
+        )
+
     def begin(self, route: DatabaseRoute, *, read_only: bool) -> None:
         """Opens a transaction."""
         self.transaction = SessionTransaction(route, read_only)
--- a/src/wigeonpoint/process/gateway/_exchange.py
+++ b/src/wigeonpoint/process/gateway/_exchange.py
@@ -9,16 +9,16 @@
 
 from wigeonpoint.backend import LogPosition
 from wigeonpoint.connection.session import (
-    CallerSession,
     MemberAnswer,
     MemberFault,
     PooledConnection,
+    SessionSnapshot,
 )
 from wigeonpoint.errors import NotRun, ResultCode
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.process.gateway._member_pool import MIN_LATE_S, MemberPool
 from wigeonpoint.process.gateway._primary_guard import PrimaryGuard
-from wigeonpoint.request.session import SessionStatement, TransactionState, Verb
+from wigeonpoint.request.session import SessionStatement, TransactionState
 
 
 class StatementNotSent(Exception):
@@ -45,7 +45,7 @@
         group: Group,
         pool: MemberPool,
         connection: PooledConnection,
-        session: CallerSession,
+        session: SessionSnapshot,
         statement: SessionStatement,
         guard: PrimaryGuard,
     ) -> None:
@@ -129,9 +129,9 @@
         refused = await connection.restore_values(session.values)
         if refused is not None:
             raise StatementNotSent(refused)
-        if self._statement.verb is not Verb.EXECUTE:
+        if session.prepared is None:
             return None
-        prepared = await connection.prepare(session.prepared[self._statement.name])
+        prepared = await connection.prepare(session.prepared)
         if isinstance(prepared, MemberAnswer):
             raise StatementNotSent(prepared)
         return prepared
--- a/src/wigeonpoint/process/gateway/_session_service.py
+++ b/src/wigeonpoint/process/gateway/_session_service.py
@@ -378,7 +378,9 @@
         now = asyncio.get_running_loop().time()
         group = self._group(route.service)
         deadline = min(now + route.timeout_s, self._last_end_at)
-        return StatementContext(session, route, group, statement, deadline=deadline)
+        prepared_name = statement.name if statement.verb is Verb.EXECUTE else None
+        snapshot = session.snapshot(group=group.name, prepared_name=prepared_name)
+        return StatementContext(session, snapshot, route, group, statement, deadline=deadline)
 
     @staticmethod
     def _is_write(session: CallerSession, statement: SessionStatement) -> bool:
--- a/src/wigeonpoint/process/gateway/_statement_context.py
+++ b/src/wigeonpoint/process/gateway/_statement_context.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from wigeonpoint.backend import LogPosition
-from wigeonpoint.connection.session import CallerSession
+from wigeonpoint.connection.session import CallerSession, SessionSnapshot
 from wigeonpoint.process.gateway._group import Group
 from wigeonpoint.request.session import SessionStatement
 from wigeonpoint.version.catalogue import DatabaseRoute
@@ -19,7 +19,8 @@
     """A statement with its session, route, group and deadline.
 
     Attributes:
-        session: The caller's session.
+        session: The caller's session, for what the statement changes.
+        snapshot: What the statement needs of the session.
         route: The route that it runs under.
         group: The route's database group.
         statement: The statement.
@@ -27,6 +28,7 @@
     """
 
     session: CallerSession
+    snapshot: SessionSnapshot
     route: DatabaseRoute
     group: Group
     statement: SessionStatement
@@ -40,7 +42,7 @@
     @property
     def committed(self) -> LogPosition | None:
         """Position of the session's last commit in the group, or None."""
-        return self.session.committed.get(self.group.name)
+        return self.snapshot.committed
 
     def note_commit(self, position: LogPosition | None) -> None:
         """Records the position of a commit of the session."""
--- a/src/wigeonpoint/process/gateway/_statement_router.py
+++ b/src/wigeonpoint/process/gateway/_statement_router.py
@@ -74,7 +74,7 @@
             )
         )
         return Exchange(
-            context.group, pool, connection, context.session, context.statement, self._guard
+            context.group, pool, connection, context.snapshot, context.statement, self._guard
         )
 
     async def wait_for_primary(self, context: StatementContext) -> MemberPool:
--- a/src/wigeonpoint/process/gateway/_transactions.py
+++ b/src/wigeonpoint/process/gateway/_transactions.py
@@ -21,6 +21,7 @@
 from wigeonpoint.process.gateway._replies import reply_for_answer, reply_for_error
 from wigeonpoint.process.gateway._statement_context import INITIAL_RETRY_PAUSE_S, StatementContext
 from wigeonpoint.process.gateway._statement_router import StatementRouter
+from wigeonpoint.request import Access
 from wigeonpoint.request.session import (
     Refusal,
     Reply,
@@ -286,9 +287,8 @@
 
 
 def _executes_prepared_write(context: StatementContext) -> bool:
-    prepared = context.session.prepared.get(context.statement.name)
-    executes = context.statement.verb is Verb.EXECUTE
-    return executes and prepared is not None and prepared.access.value == "write"
+    prepared = context.snapshot.prepared
+    return prepared is not None and prepared.access is Access.WRITE
 
 
 def _aborted_reply(message: str) -> Reply:
--- a/src/wigeonpoint/process/gateway/relay/_service.py
+++ b/src/wigeonpoint/process/gateway/relay/_service.py
@@ -7,11 +7,11 @@
 
 from wigeonpoint.connection import PeerDispatcher
 from wigeonpoint.connection.session import (
-    CallerSession,
     MemberAnswer,
     MemberConnectionLost,
     MemberConnector,
     PooledConnection,
+    SessionSnapshot,
 )
 from wigeonpoint.errors import NotRun, OutcomeUnknown, ResultCode
 from wigeonpoint.events import Event, log_event
@@ -272,14 +272,11 @@
         return self._pools.use(group, member_id)
 
 
-def _make_session(terms: RelayTerms, message: RelayStatement | None = None) -> CallerSession:
+def _make_session(terms: RelayTerms, message: RelayStatement | None = None) -> SessionSnapshot:
     """Builds the session of a caller of another instance, as far as a statement needs it."""
-    session = CallerSession("", number=_session_number(terms))
-    if message is not None:
-        session.values = message.values
-        if message.prepared is not None:
-            session.prepared = {message.statement.name: message.prepared}
-    return session
+    if message is None:
+        return SessionSnapshot(_session_number(terms))
+    return SessionSnapshot(_session_number(terms), message.values, message.prepared)
 
 
 def _session_number(terms: RelayTerms) -> int:
