Keep an instance in use that starts during a long outage of the store

Cause: its quorum leases need a store read that it knows of, and peers told no age of more than 3 s. Read over the change beside it: a handover's answer was not passed on if the successor's report had taken 0.2 s; the coordinator wrote a forgotten instance's row at each check.

Change: peers tell the age as long as it matters; a handover's answer needs the right alone; the row is written once a second; the times of failed copies are forgotten after five seconds.

--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -241,6 +241,10 @@
         handover = self._handovers.get(group)
         if handover is not None and not handover.usable:
             return False
+        return self._has_right(group, member_id)
+
+    def _has_right(self, group: str, member_id: str) -> bool:
+        """Whether no change of primary can be unknown here; asks the members if need be."""
         if self.lease_valid:
             return True
         if self.lease.store_read_age_s() >= QUORUM_LEASES_WITHOUT_STORE_S:
@@ -282,9 +286,8 @@
         handover = self._handovers.get(group)
         if handover is None or handover.primary_id != member_id:
             return self.may_send(group, member_id)
-        return await handover.confirm(position, deadline=deadline) and self.may_send(
-            group, member_id
-        )
+        confirmed = await handover.confirm(position, deadline=deadline)
+        return confirmed and self.registered and self._has_right(group, member_id)
 
     def leadership(self, group: str) -> Leadership | None:
         """The newest known leadership record of a group."""
--- a/src/wigeonpoint/process/gateway/control/_lost_instances.py
+++ b/src/wigeonpoint/process/gateway/control/_lost_instances.py
@@ -5,6 +5,7 @@
 from wigeonpoint.process.gateway.control._control_state import DEREGISTERED_KEPT_S, ControlState
 from wigeonpoint.process.gateway.control._peers import GatewayPeers
 
+WRITE_INTERVAL_S = 1.0  # between two attempts for the same instance
 DEREGISTER_AFTER_S = 8.0  # an instance that restarts or is briefly cut off returns sooner
 
 
@@ -23,6 +24,7 @@
         self._peers = peers
         self._unreachable_since: dict[str, float] = {}
         self._deregistered_since: dict[str, float] = {}
+        self._write_again_at: dict[str, float] = {}
 
     def clear(self) -> None:
         """Forgets what has not been reached so far, as this instance is not the coordinator."""
@@ -32,7 +34,8 @@
         """Deregisters the instances that are due, and removes records that are no longer needed."""
         await self._deregister_lost()
         for name in self._control.forgotten:
-            await self._control.deregister_instance(name)
+            if self._may_write(name):
+                await self._control.deregister_instance(name)
         await self._remove_old()
 
     async def _deregister_lost(self) -> None:
@@ -55,5 +58,13 @@
             del self._deregistered_since[name]
         for name in deregistered:
             since = self._deregistered_since.setdefault(name, now)
-            if now - since >= DEREGISTERED_KEPT_S:
+            if now - since >= DEREGISTERED_KEPT_S and self._may_write(name):
                 await self._control.remove_instance(name)
+
+    def _may_write(self, name: str) -> bool:
+        """Whether the last write for an instance was long enough ago; notes a new one if so."""
+        now = self._control.lease.now
+        if now < self._write_again_at.get(name, now):
+            return False
+        self._write_again_at[name] = now + WRITE_INTERVAL_S
+        return True
--- a/src/wigeonpoint/process/gateway/control/_messages.py
+++ b/src/wigeonpoint/process/gateway/control/_messages.py
@@ -60,7 +60,7 @@
         name: Name of the instance.
         changed: Number of the version of the last known change of each table that it follows.
         store_evidence_age_s: Seconds since the latest store read that it knows of, None if that is
-            too long ago to renew any lease.
+            too long ago to matter.
         unreachable: Seconds for which it has not reached the primary, by group; groups with a
             reachable primary are left out.
         leaving: Whether it is shutting down.
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -15,8 +15,11 @@
 from wigeonpoint.process.gateway._background import start_loop
 from wigeonpoint.process.gateway._table_feed import TableFeed
 from wigeonpoint.process.gateway.control._change_watch import ChangeWatch
-from wigeonpoint.process.gateway.control._control_state import ControlState
-from wigeonpoint.process.gateway.control._lease import FLEET_VIEW_MAX_AGE_S, LEASE_DURATION_S
+from wigeonpoint.process.gateway.control._control_state import (
+    QUORUM_LEASES_WITHOUT_STORE_S,
+    ControlState,
+)
+from wigeonpoint.process.gateway.control._lease import LEASE_DURATION_S
 from wigeonpoint.process.gateway.control._messages import (
     AnnounceLeadership,
     ConfirmedPrimary,
@@ -383,6 +386,6 @@
 
 
 def store_read_age_s(control: ControlState) -> float | None:
-    """Seconds since the latest store read, None if that is too long ago to renew any lease."""
+    """Seconds since the latest store read, None if that is too long ago to matter."""
     age = control.lease.store_read_age_s()
-    return ceil(age * 1000) / 1000 if age < FLEET_VIEW_MAX_AGE_S else None  # never too young
+    return ceil(age * 1000) / 1000 if age < QUORUM_LEASES_WITHOUT_STORE_S else None
--- a/src/wigeonpoint/process/gateway/control/_table_exchange.py
+++ b/src/wigeonpoint/process/gateway/control/_table_exchange.py
@@ -131,10 +131,10 @@
         if address in started:
             return SECOND_COPY_AFTER_S
         failed_at = self._failed_at.get((address, table), float("-inf"))
-        pause_s = SECOND_COPY_AFTER_S
-        if now - failed_at < AVOID_FAILED_S:
-            pause_s = 2 * SECOND_COPY_AFTER_S
-        return max(started.values(), default=failed_at) + pause_s - now
+        if now - failed_at >= AVOID_FAILED_S:
+            self._failed_at.pop((address, table), None)
+            return max(started.values(), default=failed_at) + SECOND_COPY_AFTER_S - now
+        return max(started.values(), default=failed_at) + 2 * SECOND_COPY_AFTER_S - now
 
     def close(self) -> None:
         """Ends copies in the background."""
@@ -146,9 +146,9 @@
         try:
             await self.fetch(address, table)
         except WigeonpointError as error:
-            self.log_failure(address, table, error, began=began)
+            self._log_failure(address, table, error, began=began)
 
-    def log_failure(
+    def _log_failure(
         self, address: str, table: str, error: WigeonpointError, *, began: float
     ) -> None:
         """Logs a copy that failed, what this instance has, and which other copies are under way.
--- a/tests/gateway/test_failover.py
+++ b/tests/gateway/test_failover.py
@@ -317,12 +317,15 @@
             result, _ = await cluster.write_until_served(caller, "WRITE a x", within_s=5.0)
             assert result.served
 
-    async def test_instance_that_starts_without_the_store_learns_from_its_peers(self) -> None:
+    @pytest.mark.parametrize("outage_s", [0.3, 5.0])
+    async def test_instance_that_starts_without_the_store_learns_from_its_peers(
+        self, outage_s: float
+    ) -> None:
         """Guards against an instance that waits for the store although its peers have all rows."""
         async with GatewayCluster() as cluster:
             cluster.kill("g-chur")
             cluster.store.down = True
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(outage_s)
             gateway = cluster.start("g-chur", "chur")
             await asyncio.sleep(1.5)
             assert gateway.ready
