Let another instance replace primaries when the coordinator's promotion calls fail

Callers' writes were refused after the time of a leaving primary, if the service that carries out promotions did not answer the coordinator alone.

Cause: the coordinator answers its peers and reaches the store, so it stayed the coordinator, and only the coordinator takes over claims.

Change: an instance whose call has failed says so for 10 s, like one without the store. It repeats no call later than 2 s after its claim, as a call with a lower token must not arrive after a takeover.

--- a/src/wigeonpoint/process/gateway/_gateway.py
+++ b/src/wigeonpoint/process/gateway/_gateway.py
@@ -258,7 +258,7 @@
             in_contact=self.peers.reachable,
             vouched=self.quorum_leases.shared(),
             follows_store=self.peers.has_store_contact,
-            without_store=self.control.without_store,
+            without_store=self.control.cannot_replace_primaries,
             leaving_members=self.view.leaving_members(),
         )
 
--- a/src/wigeonpoint/process/gateway/control/_control_state.py
+++ b/src/wigeonpoint/process/gateway/control/_control_state.py
@@ -43,6 +43,8 @@
 LEASE_WATCH_INTERVAL_S = 0.05
 # A single failure of the store does not move the coordinator to another instance.
 WITHOUT_STORE_AFTER_S = 0.5
+# Another instance takes over the changes for as long after a call for a promotion has failed.
+WITHOUT_PROMOTIONS_S = 10.0
 MAX_LOGGED_AGE_S = 1000.0  # a lease that was never renewed is infinitely old
 
 
@@ -88,6 +90,7 @@
         self._on_instances_changed = on_instances_changed
         self._lease_valid_since: float | None = None
         self._listed_version: int | None = None
+        self._promotion_failed_at = float("-inf")
         self._registered_since: float | None = None
         self._leaderships: dict[str, Leadership] = {}
         self._claimants: frozenset[str] = frozenset()
@@ -197,9 +200,18 @@
         return max(self.lease.remaining_s(self.peers) - QUORUM_LEASES_BEFORE_S, 0.0)
 
     @property
-    def without_store(self) -> bool:
-        """Whether the store does not answer this instance, so that it cannot claim changes."""
-        return self.feed.unreachable_s >= WITHOUT_STORE_AFTER_S
+    def cannot_replace_primaries(self) -> bool:
+        """Whether the platform does not answer this instance, so that it can make no changes.
+
+        That is the store, or the service that carries out promotions.
+        """
+        if self.feed.unreachable_s >= WITHOUT_STORE_AFTER_S:
+            return True
+        return self.lease.now - self._promotion_failed_at < WITHOUT_PROMOTIONS_S
+
+    def note_promotion_call(self, *, answered: bool) -> None:
+        """Records whether a call for a promotion was answered."""
+        self._promotion_failed_at = float("-inf") if answered else self.lease.now
 
     @property
     def isolated(self) -> bool:
--- a/src/wigeonpoint/process/gateway/control/_messages.py
+++ b/src/wigeonpoint/process/gateway/control/_messages.py
@@ -69,8 +69,8 @@
         vouched: Primaries with a valid quorum lease, by group.
         follows_store: Whether it follows the store's tables itself and the store answers it.
         eras: Eras of the versions in `changed`.
-        without_store: Whether the store does not answer it, so that it cannot claim changes of
-            primary.
+        without_store: Whether the store or the service for promotions does not answer it, so that
+            it cannot replace primaries.
         leaving_members: The leaving members that it knows.
     """
 
--- a/src/wigeonpoint/process/gateway/control/_peers.py
+++ b/src/wigeonpoint/process/gateway/control/_peers.py
@@ -181,7 +181,7 @@
         names = {
             name for name, state in states.items() if state is not None and state.without_store
         }
-        return names | {self._control.name} if self._control.without_store else names
+        return names | {self._control.name} if self._control.cannot_replace_primaries else names
 
     def catch_up(self, name: str, changed: int) -> None:
         """Copies the prompt table in the background from a peer that knows a later change of it.
--- a/src/wigeonpoint/process/gateway/control/_policy.py
+++ b/src/wigeonpoint/process/gateway/control/_policy.py
@@ -67,7 +67,8 @@
         own: Name of this instance.
         current: The present coordinator, None if there is none.
         reachable: Registered instances that answer.
-        without_store: Those of them, and this one, that the store does not answer.
+        without_store: Those of them, and this one, that the store or the service for promotions
+            does not answer.
     """
     answering = {own, *reachable}
     candidates = answering - set(without_store) or answering
--- a/src/wigeonpoint/process/gateway/control/_primary_change.py
+++ b/src/wigeonpoint/process/gateway/control/_primary_change.py
@@ -35,6 +35,8 @@
 CATCH_UP_S = 1.0
 PROMOTION_ATTEMPTS = 4
 PROMOTION_RETRY_DELAY_S = 0.2
+# A later call might not have ended when another instance takes the claim over with a higher token.
+LAST_RETRY_AFTER_S = 2.0
 PROMOTION_POLL_S = 0.05
 PROMOTION_TIMEOUT_S = 4.0
 EXPIRY_MARGIN_S = 0.02  # for clocks of instances that run at slightly different rates
@@ -341,16 +343,20 @@
             ClaimSuperseded: Another instance has taken over the claim.
         """
         candidate = claim.leadership.candidate or ""
-        for _ in range(PROMOTION_ATTEMPTS):
+        for attempt in range(PROMOTION_ATTEMPTS):
             self._claims.raise_if_superseded(claim)
+            if attempt and self._control.lease.now - claim.claimed_at > LAST_RETRY_AFTER_S:
+                break
             try:
                 accepted = await self._promoter.promote(
                     self._name, candidate, holder=self._control.name, token=claim.token
                 )
             except StoreUnavailable as error:
+                self._control.note_promotion_call(answered=False)
                 self._log_failure(error.message)
                 await asyncio.sleep(PROMOTION_RETRY_DELAY_S)
                 continue
+            self._control.note_promotion_call(answered=True)
             if not accepted:
                 self._log_failure("the candidate is not running")
             return accepted
