--- a/tools/catalogue_texts.py
+++ b/tools/catalogue_texts.py
@@ -122,6 +122,10 @@
         "`reason` says what this instance waits for; each reason is logged once. "
         "Look at the log of `coordinator` if that is another instance."
     ),
+    "REPLICAS_SILENT": (
+        "Needed where commits wait for replicas: none of those in `silent` may be left out. No "
+        "member is promoted until enough have answered or have left the members' table."
+    ),
     "LEADERSHIP_RESTORED": (
         "The store was restored from a copy that is older than the group's change of primary."
     ),
@@ -133,7 +137,9 @@
         "Changes reach this instance by other peers, by pings or by its own feed meanwhile."
     ),
     "COPY_FAILED": (
-        "Tried again with later pings; the instance follows the store as well if need be."
+        "Tried again with later pings, meanwhile at the peers in `copying_from`. `seconds` is how "
+        "long it took, `changed` the last change that this instance has, known for `unchanged_s`. "
+        "The instance follows the store as well if need be."
     ),
     "REISSUE_UNCONFIRMED": (
         "The store was restored and is away again; the newest known configuration stays active."
