--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -19,6 +19,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+HEARTBEAT_S = 1.2
 
 
 def now() -> float:
@@ -73,6 +74,9 @@
     def put(self, table: str, key: str, value: object) -> int:
         return self._apply([(table, key, json.dumps(value).encode())])
 
+    def remove(self, table: str, key: str) -> int:
+        return self._apply([(table, key, None)])
+
     def _apply(self, changes: list[tuple[str, str, bytes | None]]) -> int:
         self.version += 1
         for table, key, value in changes:
@@ -192,8 +196,11 @@
         promote_s: float,
         lag_s: float,
         slots: int,
+        sync: int = 0,
     ) -> None:
         self.name, self.store, self.record = name, store, record
+        self.sync = sync
+        self.led_with: list[tuple[str, list[tuple[int, str, str]]]] = []  # logs of promoted members
         self.promote_s, self.lag_s, self.slots = promote_s, lag_s, slots
         self.members: dict[str, Member] = {}
         self.promote_task: asyncio.Task[None] | None = None
@@ -215,17 +222,20 @@
 
     async def _lead(self, member: Member) -> None:
         await asyncio.sleep(self.promote_s)
+        if not member.running:
+            return
+        self.led_with.append((member.id, list(member.log)))
         old = [one for one in self.members.values() if one.primary and one is not member]
         member.term = max(one.term for one in self.members.values()) + 1
         member.primary, member.held = True, 0
         self.record("leads", id=member.id, term=member.term)
         member.report()
         for one in self.members.values():
-            if one is not member and not one.primary:
+            if one is not member and not one.primary and one.running and not one.deaf:
                 one.follow(member)
         await asyncio.sleep(1.0)
         for one in old:
-            if one.primary and one.term < member.term:
+            if one.running and one.primary and one.term < member.term:
                 one.step_down(member.term)
 
 
@@ -241,15 +251,42 @@
         self.applied = 1
         self.draining = False
         self.running = True
+        self.deaf = False  # whether it receives nothing
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.port = 0
+        self._server: asyncio.Server | None = None
         self.runs: list[tuple[float, str, str]] = []
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        server = await asyncio.start_server(self._serve, HOST, 0, limit=1 << 21)
-        self.port = server.sockets[0].getsockname()[1]
+        self._server = await asyncio.start_server(self._serve, HOST, self.port, limit=1 << 21)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def crash(self) -> None:
+        """Stops without a word; its entry is removed after three liveness report intervals."""
+        self.running = False
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self.group.record("crash", id=self.id, log_end=self._received())
+        asyncio.get_running_loop().call_later(3 * HEARTBEAT_S, self._expire)
+
+    def _expire(self) -> None:
+        if not self.running and ("servers", self.id) in self.group.store.rows:
+            self.group.store.remove("servers", self.id)
+            self.group.record("entry-removed", id=self.id)
+
+    async def restart(self) -> None:
+        """Comes back with its log, as a replica if another member was promoted."""
+        self.running, self.held, self.born = True, 0, int(time.time() * 1000)
+        leader = next((one for one in self.group.members.values() if one.primary and one is not self), None)
+        if leader is not None and leader.term > self.term:
+            self.primary = False
+            self.follow(leader)
+        await self.start()
+        self.group.record("back", id=self.id)
+        self.report()
 
     def report(self) -> None:
         self.sequence += 1
@@ -293,7 +330,7 @@
     def _received(self) -> str:
         return f"{self.log[-1][0]}.{len(self.log)}"
 
-    def commit(self, writes: list[tuple[str, str]]) -> None:
+    async def commit(self, writes: list[tuple[str, str]]) -> None:
         for item, data in writes:
             self.log.append((self.term, item, data))
         self.applied = len(self.log)
@@ -301,9 +338,18 @@
         for one in self.group.members.values():
             if one is not self and not one.primary:
                 loop.call_later(0.001, one._receive, self, len(self.log))
+        term, length = self.term, len(self.log)
+        while self.group.sync > sum(
+            one is not self and len(one.log) >= length and one.log[length - 1][0] == term
+            for one in self.group.members.values()
+            if one.running
+        ):
+            await asyncio.sleep(0.002)
 
     def _receive(self, leader: Member, length: int) -> None:
-        if self.held or self.primary or leader.term < self.term or not leader.primary:
+        if self.held or self.deaf or self.primary or not self.running:
+            return
+        if leader.term < self.term or not leader.primary or not leader.running:
             return
         self.log = leader.log[:length] if len(self.log) < length else self.log
         asyncio.get_running_loop().call_later(self.group.lag_s, self._apply, length)
@@ -420,14 +466,14 @@
         if kind == "COMMIT":
             self.state = "I"
             if self.writes:
-                member.commit(self.writes)
+                await member.commit(self.writes)
             self.writes = []
             return [proof]
         write = (words[1], " ".join(words[2:]))
         if self.state == "T":
             self.writes.append(write)
         else:
-            member.commit([write])
+            await member.commit([write])
         return [proof]
 
     def _control(self, words: list[str]) -> list[str]:
@@ -597,7 +643,7 @@
             self._streams = None
 
 
-def configuration(service: str, *, connections: int) -> dict[str, object]:
+def configuration(service: str, *, connections: int, sync: int = 0) -> dict[str, object]:
     route = {"name": "r-1", "prefix": "/", "serviceName": service, "timeoutMs": 1000, "priority": 0}
     return {
         "configVersion": 7,
@@ -612,6 +658,6 @@
                 "maxStalenessMs": 2500,
             },
         ],
-        "services": [{"name": service, "maxConnections": connections, "syncReplicas": 0}],
+        "services": [{"name": service, "maxConnections": connections, "syncReplicas": sync}],
         "limits": {"txIdleMs": 3000},
     }
