Review case 10: a group whose first primary is lost while all instances are down gets no other one

Cause: a group without a leadership record has no primary once the entry of the one member that says it leads is gone, and that counts as members that have only just started, for good. Change: a script and its claim; nothing is fixed.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 python3 -c 'import ast, sys
 for path in sys.argv[1:]:
-    ast.parse(open(path).read(), path)' review/standins-2/*.py review/lib/standins.py review/[789]/case.py
+    ast.parse(open(path).read(), path)' review/standins-2/*.py review/lib/standins.py review/7/case.py review/8/case.py review/9/case.py review/10/case.py
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -263,14 +263,18 @@
         self._server = await asyncio.start_server(self._serve, HOST, self.port, limit=1 << 21)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def crash(self) -> None:
-        """Stops without a word; its entry is removed after three liveness report intervals."""
+    def crash(self, *, reported_s: float = 0.0) -> None:
+        """Stops without a word; its entry is removed after three liveness report intervals.
+
+        Args:
+            reported_s: Seconds since its last liveness report.
+        """
         self.running = False
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
         self.group.record("crash", id=self.id, log_end=self._received())
-        asyncio.get_running_loop().call_later(3 * HEARTBEAT_S, self._expire)
+        asyncio.get_running_loop().call_later(3 * HEARTBEAT_S - reported_s, self._expire)
 
     def _expire(self) -> None:
         if not self.running and ("servers", self.id) in self.group.store.rows:
