Review: the scripts' exit status says 1 only after a judgement

Cause: an error before the judgement, such as a failed import, would have ended with 1 as well. Change: run.sh turns a status of its own into 1, and anything unexpected into 2; a script that is ended by its time limit ends its gateways.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -22,6 +23,7 @@
 RESTART_S = 0.3
 OBSERVED_S = 13.0
 TIME_LIMIT_S = 100.0
+BROKEN = 3  # exit status, which no error of Python has; run.sh turns it into 1
 
 Sent = dict[str, tuple[float, float, str]]  # by id: when sent, when its gateway started, its name
 
@@ -116,11 +118,12 @@
             )
     record("result", late=late)
     print(f"DRAIN: {late} requests reached the leaving member later than drainMs after its ack")
-    return 1 if late else 0
+    return BROKEN if late else 0
 
 
 def main() -> int:
     record = Record(HERE / "record.txt")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the gateways are ended then, too
     try:
         with tempfile.TemporaryDirectory() as folder:
             return asyncio.run(asyncio.wait_for(play(record, Path(folder)), TIME_LIMIT_S))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -20,6 +21,7 @@
 DRAINING_AFTER_S = 4.6  # the primary, which goes on serving
 DOWN_S = 7.0
 TIME_LIMIT_S = 100.0
+BROKEN = 3  # exit status, which no error of Python has; run.sh turns it into 1
 
 Acked = dict[str, str]  # ids of acknowledged writes, by item
 
@@ -113,11 +115,12 @@
     for item in sorted(lost):
         record("LOST", item=item, id=acked[item])
     print(f"LOST: {len(lost)} of {len(acked)} acknowledged writes are not in the promoted log")
-    return 1 if lost else 0
+    return BROKEN if lost else 0
 
 
 def main() -> int:
     record = Record(HERE / "record.txt")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the gateways are ended then, too
     try:
         with tempfile.TemporaryDirectory() as folder:
             return asyncio.run(asyncio.wait_for(play(record, Path(folder)), TIME_LIMIT_S))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -20,6 +21,7 @@
 RECOVERY_S = 12.0  # recoveryS
 OBSERVED_S = 8.0  # after that
 TIME_LIMIT_S = 100.0
+BROKEN = 3  # exit status, which no error of Python has; run.sh turns it into 1
 
 Answers = list[tuple[float, bool]]  # when a request was sent, and whether it was served
 
@@ -109,11 +111,12 @@
     )
     if 4 * sum(before) < len(before) or not after:
         return 2
-    return 1 if 4 * sum(after) < len(after) else 0
+    return BROKEN if 4 * sum(after) < len(after) else 0
 
 
 def main() -> int:
     record = Record(HERE / "record.txt")
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the gateways are ended then, too
     try:
         with tempfile.TemporaryDirectory() as folder:
             return asyncio.run(asyncio.wait_for(play(record, Path(folder)), TIME_LIMIT_S))
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,9 @@
-#!/bin/sh
+#!/bin/bash
 # Exit 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0: without disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec python3 -B review/9/case.py
+timeout -k 5 118 python3 -B review/9/case.py
+case $? in
+0) exit 0 ;;
+3) exit 1 ;; # only a finished judgement ends with 3
+*) exit 2 ;;
+esac
