Review: scripts with ports of their own, an end on SIGTERM, and case 8 inside its shares

A SIGTERM to a script left its processes running until the case's own end. Case 8 cut off two of three members, where its claim did not quote the shares.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,16 +4,21 @@
 
 import asyncio
 import random
+import signal
+import sys
 from pathlib import Path
 
+import standins
 from standins import Client, Closed, Gateway, Group, Network, Platform, Record, Sent
 from standins import catalogue, link_pair, main, now, trouble
+from world import free_ports
 
 SERVICE = "huvo11a"
-CUT_S = 12.0  # node_cut in the site file: 12 s
+OTHER_SERVICES = ("huvo11a~2", "huvo11a~3")  # three groups, as on the sheet; these two are not used
+CUT_S = 12.0  # node_cut in the site file: 12 s, share 0.35; one machine here
 # The primary and one replica are cut off from the store, not from members and instances.
 MEMBERS_CUT_AFTER_S = 0.5
-MEMBERS_CUT_S = 5.0  # srv_cut: 5 s
+MEMBERS_CUT_S = 5.0  # primary_cut how core: 5 s; srv_cut: 5 s, share 0.2; one of nine here
 EXPIRES_S = 3.6  # three liveness report intervals of 1.2 s
 HOME, AWAY = "front-chur-1", "front-chur-2"
 
@@ -36,28 +41,49 @@
             await asyncio.sleep(0.1)
 
 
+def configuration() -> dict[str, object]:
+    """One `primary` route and one service for each group."""
+    merged: dict[str, list[object]] = {"routeTable": [], "services": []}
+    whole: dict[str, object] = {}
+    for number, service in enumerate((SERVICE, *OTHER_SERVICES), 1):
+        route = {
+            "name": f"r-{number}",
+            "dbName": "orders" if number == 1 else f"orders{number}",
+            "routeType": "primary",
+            "timeoutMs": 800,
+            "targetLatencyMs": 100,
+            "priority": 0,
+        }
+        one = catalogue(service, [route], connections=50)
+        assert isinstance(one, dict)
+        whole = {**one, **whole}
+        for name, entries in merged.items():
+            entries += one[name]
+    return {**whole, **merged}
+
+
 async def run(record: Record, folder: Path, gateways: list[Gateway]) -> bool:
     network = Network()
     platform = Platform(network, record)
     group = platform.groups[SERVICE] = Group(SERVICE, network, record, promote_s=0.3)
     for zone in ("chur", "stgallen", "sargans"):
         group.add(f"i-{zone}", zone, primary=zone == "stgallen", slots=5, queue=40, work_s=0.005)
-    route = {
-        "name": "r-1",
-        "dbName": "orders",
-        "routeType": "primary",
-        "timeoutMs": 800,
-        "targetLatencyMs": 100,
-        "priority": 0,
-    }
-    platform.put("op", "config", catalogue(SERVICE, [route], connections=50))
+    everyone = list(group.members.values())
+    for number, name in enumerate(OTHER_SERVICES, 2):
+        other = platform.groups[name] = Group(name, network, record, promote_s=0.3)
+        for zone in ("chur", "stgallen", "sargans"):
+            is_primary = zone == "stgallen"
+            everyone.append(
+                other.add(f"i-{zone}-{number}", zone, primary=is_primary, slots=5, queue=40, work_s=0.005)
+            )
+    platform.put("op", "config", configuration())
     home, away = Gateway(HOME, "chur", folder), Gateway(AWAY, "chur", folder)
     gateways += [home, away]
     for one in gateways:
         await platform.listen(one.name)
-        for member in group.members.values():
+        for member in everyone:
             await member.listen(one.name)
-    for member in group.members.values():
+    for member in everyone:
         platform.put_member(member)
     await link_pair(network, platform, home, away)
     for one in gateways:
@@ -151,4 +177,6 @@
     return stale > 0
 
 
+standins.free_port = lambda: free_ports(1)[0]  # not one of those for outgoing connections
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the gateways are ended then, too
 main(run, Path(__file__).parent)
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -27,15 +27,27 @@
 
 
 def free_ports(count: int) -> list[int]:
+    """Ports that nobody uses, below those that the kernel gives to outgoing connections.
+
+    One of those could be taken between this call and the start of the program that is to listen there.
+    """
+    import random
     import socket
 
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind((HOST, 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    sockets: list[socket.socket] = []
+    try:
+        while len(sockets) < count:
+            one = socket.socket()
+            try:
+                one.bind((HOST, random.randrange(12_000, 32_000)))
+            except OSError:
+                one.close()
+                continue
+            sockets.append(one)
+        return [one.getsockname()[1] for one in sockets]
+    finally:
+        for one in sockets:
+            one.close()
 
 
 class Record:
